--- a/beacongw/adapter.py
+++ b/beacongw/adapter.py
@@ -184,6 +184,7 @@
 
 
 def main() -> int:
+    """Serve standard input; malformed input ends it with one plain line."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
--- a/beacongw/interface.py
+++ b/beacongw/interface.py
@@ -42,6 +42,7 @@
 
     @property
     def never_ran(self) -> bool:
+        """Whether the outcome proves that the attempt never ran."""
         return self in (Outcome.MISS, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -45,6 +45,7 @@
         self.usual = self.spread = usual
 
     def learn(self, latency: int) -> None:
+        """Take one answer's time into account."""
         off = latency - self.usual
         self.usual += off / 16
         self.spread += (abs(off) - self.spread) / 16
@@ -63,6 +64,7 @@
         self._chance = 1.0
 
     def chance(self, now: int) -> float:
+        """Return the chance to be sent to."""
         return min(1.0, self._chance + now / REGAIN) if self._chance < 1.0 else 1.0
 
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
@@ -88,6 +90,7 @@
         self._cold_until = 0
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
+        """Take over what changed in the list; other slots keep their rankings."""
         changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
         gone = {*left, *(entry.id for entry in changed)}
         for server_id in gone:
@@ -110,6 +113,7 @@
         return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
 
     def warmth(self, node: Node, now: int) -> float:
+        """Return the share of its work that a server can do so soon after its start."""
         age = max(now - node.entry.started, 0)  # clocks differ: a start may lie ahead
         cold, cold_time = self._settings.cold_share, self._settings.cold_time
         warm = not node.entry.started or age >= cold_time
@@ -135,6 +139,7 @@
         self._total = 0.0
 
     def add(self, slot: int | str) -> float:
+        """Count a request of this slot; returns the slot's share before it."""
         count = self._counts.get(slot, 0.0)
         share = count / max(self._total, 1.0)
         self._counts[slot] = count + 1
@@ -171,6 +176,7 @@
         return len(self._calls) - self.declined
 
     def admit(self, now: int) -> bool:
+        """Decide on one fetch, and count it."""
         accepted, soft = self.accepted(now), self.window_s * self.limit
         over = len(self._calls) >= soft * HARD_LIMIT_FACTOR
         allowed = not (over and accepted >= soft)
--- a/holdpick/__main__.py
+++ b/holdpick/__main__.py
@@ -91,6 +91,7 @@
 
 
 def main() -> int:
+    """Run the router; what can't be used is one plain line and exit code 2."""
     try:
         config = load_config(os.environ)
         if config.known is not None:
--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -42,6 +42,7 @@
         self._waiting: deque[ClientConnection] = deque()
 
     def take(self, connection: ClientConnection, size: int) -> bool:
+        """Set bytes aside; without enough of them the connection waits in line."""
         if size > self._free:
             self._waiting.append(connection)
             return False
@@ -82,6 +83,7 @@
             source.pause()
 
     def write(self, data: bytes) -> bool:
+        """Write a part once the answers ahead are written; False: it is held back."""
         connection = self._connection
         if connection.closed:
             return True
@@ -127,14 +129,17 @@
         self.refusing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection."""
         self._leave()
 
     def eof_received(self) -> bool:
+        """Take the end of the client's sending: it has gone away."""
         self._leave()
         return False
 
@@ -151,6 +156,7 @@
                 self.server.host.client_gone(reply)
 
     def data_received(self, data: bytes) -> None:
+        """Read what came."""
         try:
             self._read(data)
         except Exception:
@@ -185,6 +191,7 @@
             self._set_reading()
 
     def reserve(self) -> None:
+        """Set aside what the command under way needs, or wait for it."""
         self._starved = not self.server.budget.take(self, self._reader.need)
         if not self._starved:
             self._reserved = self._reader.need
@@ -215,6 +222,7 @@
             self.transport.write(data)
 
     def flush(self) -> None:
+        """Go on to the next answer that is due."""
         replies = self.replies
         while replies and replies[0].done:
             replies.popleft()
@@ -257,6 +265,7 @@
         return not self.replies and not self._reader.need
 
     def finish(self, even_midway: bool) -> None:
+        """Close once nothing is open; `even_midway`: also in the midst of a command."""
         if self.transport is None or self.closed:
             return
         if not self.replies and (even_midway or not self._reader.need):
@@ -265,11 +274,13 @@
             self._last = even_midway or not self._reader.need or self._last
 
     def abort(self) -> None:
+        """Break the connection."""
         if self.transport is not None:
             self.transport.abort()
         self._leave()
 
     def check(self, now: float) -> None:
+        """Close it if the client is too slow."""
         if self.blocked:
             assert self.transport is not None
             size = self.transport.get_write_buffer_size()
@@ -308,6 +319,7 @@
         )
 
     def opened(self, connection: ClientConnection) -> None:
+        """Take a new connection in, within the limit."""
         if len(self._connections) >= self._limit:
             idle = min(
                 (other for other in self._connections if other.idle),
@@ -324,19 +336,23 @@
         self._connections[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
+        """Forget a connection."""
         self._connections.pop(connection, None)
 
     @property
     def connected(self) -> int:
+        """How many connections there are."""
         return len(self._connections)
 
     def stop_accepting(self) -> None:
+        """Accept nobody any longer, and close what stands between requests."""
         if self._listener is not None:
             self._listener.close()
             self._listener = None
         self.finish(even_midway=False)
 
     def finish(self, even_midway: bool) -> None:
+        """Close all connections once they have nothing open."""
         for connection in list(self._connections):
             connection.finish(even_midway)
 
@@ -347,6 +363,7 @@
             connection.check(now)
 
     def close(self) -> None:
+        """Break all connections."""
         self._timer.cancel()
         self.stop_accepting()
         for connection in list(self._connections):
--- a/holdpick/discovery.py
+++ b/holdpick/discovery.py
@@ -152,13 +152,16 @@
         self.generation = 0
 
     def start(self) -> None:
+        """Follow the list."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
     def subscribe(self) -> None:
+        """Begin a watch, unless one is on."""
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._watch_asked())
 
     def close(self) -> None:
+        """End the watch."""
         if self._task is not None:
             self._task.cancel()
         if self._call is not None:
--- a/holdpick/http.py
+++ b/holdpick/http.py
@@ -29,6 +29,7 @@
         return self._parser.get_status_code()
 
     def read(self, data: bytes) -> bool:
+        """Read a part of an answer; returns whether the answer is whole."""
         if not self._in_body:
             self._head += len(data)
         try:
@@ -40,6 +41,7 @@
         return self._whole
 
     def answer_done(self) -> bool:
+        """Go on to the next answer; returns whether the connection can be used again."""
         keep = self._keep
         self._next_answer()
         return keep
@@ -73,9 +75,11 @@
         self._keep = self._parser.should_keep_alive()
 
     def body_starts(self, length: int | None) -> None:
+        """Take the end of the head and the body's length, if it is stated."""
         raise NotImplementedError
 
     def body_came(self, data: bytes) -> None:
+        """Take a part of the body."""
         raise NotImplementedError
 
 
--- a/holdpick/origin.py
+++ b/holdpick/origin.py
@@ -50,6 +50,7 @@
             self.exchange.value_started(length, self)
 
     def body_came(self, data: bytes) -> None:
+        """Gather a part of the body, or pass it on."""
         if self._streaming:
             if self.exchange is not None:
                 self.exchange.value_came(data)
--- a/holdpick/resp.py
+++ b/holdpick/resp.py
@@ -110,6 +110,7 @@
 
 
 def parse_request(words: list[bytes]) -> Command:
+    """Take a request apart; raises ValueError in one plain line."""
     name = words[0].upper()
     if name not in (b"KV.GET", b"KV.SET"):
         raise ValueError("unknown command")
@@ -146,6 +147,7 @@
 
 
 def bulk(value: bytes) -> bytes:
+    """Encode one bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
--- a/holdpick/router.py
+++ b/holdpick/router.py
@@ -96,6 +96,7 @@
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
     def value_started(self, length: int, source: ValueSource) -> None:
+        """Begin the client's answer with a long value's header."""
         self._latency = time.monotonic_ns() - self._sent_at
         request = self._request
         if request.closed:
@@ -110,6 +111,7 @@
         self._host.tell(StreamStarted(request.id, self._number))
 
     def value_came(self, data: bytes) -> None:
+        """Pass on a part of a long value."""
         if self._source is not None:
             self._came_at = self._host.loop.time()
             self._request.reply.write(data)
@@ -133,6 +135,7 @@
             self._timer = self._host.loop.call_later(STALL_S / 4, self._check_stall)
 
     def client_left(self) -> None:
+        """Stop: nobody reads the value."""
         self.give_up(Outcome.CANCELLED)
 
     def ended(
@@ -230,6 +233,7 @@
         return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
+        """Read a load report."""
         return resp.parse_load(report, self.settings.load_fields) if report else None
 
     # Clients
@@ -316,6 +320,7 @@
             self._pool.unlist_server(server_id)
 
     def discovery_failed(self) -> None:
+        """Tell the module that a call of discovery failed."""
         self.tell(ServersChanged(ListKind.FAILED))
 
     # Events and actions
--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -64,11 +64,13 @@
         note: CacheNote | None = None,
         report: bytes | None = None,
     ) -> None:
+        """End it, unless it has ended."""
         if not self.over:
             self.over, self.connection = True, None
             self.ended(outcome, value, note, report)
 
     def give_up(self, outcome: Outcome) -> None:
+        """End it before its answer has come."""
         connection = self.connection
         if connection is not None:
             connection.exchange = None
@@ -92,26 +94,32 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def pause_writing(self) -> None:
+        """Note that the kernel has not taken every byte."""
         self.unsent = True
 
     def resume_writing(self) -> None:
+        """Note that it has."""
         self.unsent = False
 
     @property
     def usable(self) -> bool:
+        """Whether it can take another exchange."""
         return not self.retired and self.transport is not None and not self.transport.is_closing()
 
     def start(self, exchange: Exchange) -> None:
+        """Write an exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.transport.write(exchange.request_bytes(self.server.address))
 
     def close(self) -> None:
+        """Break the connection."""
         self.retired = True
         if self.transport is not None:
             self.transport.abort()
 
     def pause(self) -> None:
+        """Stop reading."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
 
@@ -127,12 +135,14 @@
         note: CacheNote | None = None,
         report: bytes | None = None,
     ) -> None:
+        """End the exchange with its answer; the connection is free."""
         exchange, self.exchange = self.exchange, None
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note, report)
 
     def spoil(self, reason: str) -> None:
+        """End the exchange for an answer that can't be read, and the connection with it."""
         log.warning("%s: %s", self.server.id, reason)
         exchange, self.exchange = self.exchange, None
         self.close()
@@ -140,6 +150,7 @@
             exchange.end(Outcome.ERROR)
 
     def data_received(self, data: bytes) -> None:
+        """Read what came."""
         if self.exchange is None:
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
@@ -155,6 +166,7 @@
         """Read a part of the answer."""
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection, and of what is out on it."""
         self.retired = True
         exchange, self.exchange = self.exchange, None
         self.server.pool.lost(self)
@@ -175,6 +187,7 @@
 
     @property
     def held(self) -> int:
+        """Connections open and under way."""
         return len(self.connections) + len(self.dials)
 
 
@@ -214,6 +227,7 @@
         return (server.id for server in self._servers.values() if server.open)
 
     def submit(self, server_id: str, exchange: Exchange) -> None:
+        """Send on an idle connection, or wait for one."""
         server = self._servers.get(server_id)
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
@@ -229,6 +243,7 @@
         self._dial_for(server)
 
     def released(self, connection: Connection) -> None:
+        """Give a free connection to who waits for one."""
         server = connection.server
         if not connection.usable:
             connection.close()
@@ -242,6 +257,7 @@
         server.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
+        """Forget a connection that has ended."""
         server = connection.server
         if connection not in server.connections:
             return
@@ -253,6 +269,7 @@
         self._forget(server)
 
     def close(self) -> None:
+        """Break all connections."""
         self._sweep_timer.cancel()
         for server in list(self._servers.values()):
             for dial in server.dials:
