Forget a client's connection when it closes

Fault: clients.py, ClientConnection._leave told the server of the close only if bytes were set aside for a long command. All others stayed listed: the limit filled with the dead, each new connection searched all of them for one to close and closed none, and a drain never saw the last one go. Ruled out: the budget (given back in every case) and the replies (taken off in _leave).

--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -147,8 +147,9 @@
         if self.closed:
             return
         self.closed = True
+        # Danger: one that stays listed holds its memory, fills the limit, and keeps a drain from ending.
+        self.server.closed(self)
         if self._reserved:
-            self.server.closed(self)
             self.server.budget.give_back(self._reserved)
         replies, self.replies = self.replies, deque()
         for reply in replies:
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,83 @@
+"""The client side alone, in this process, over loopback sockets: one test for each failure found."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from holdpick.clients import ClientServer, Reply
+from holdpick.resp import Command
+from tests.sockets import PATIENCE_S, bulk
+
+MEMORY = 8 << 20
+
+
+class EchoHost:
+    """Answers each request with its id, or holds it."""
+
+    ready = True
+
+    def __init__(self) -> None:
+        self.holding = False
+        self.held: list[Reply] = []
+        self.gone: list[Reply] = []
+
+    def request_arrived(self, command: Command, reply: Reply) -> None:
+        if self.holding:
+            self.held.append(reply)
+            return
+        reply.send(b"+%b\r\n" % command.id)
+        reply.forgotten()
+
+    def client_gone(self, reply: Reply) -> None:
+        self.gone.append(reply)
+
+
+class Stand:
+    """A client server on a port from the kernel."""
+
+    def __init__(self, host: EchoHost, server: ClientServer, port: int) -> None:
+        self.host, self.server, self.port = host, server, port
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, data: bytes) -> bytes:
+        reader, writer = await self.connect()
+        writer.write(data)
+        answer = await asyncio.wait_for(reader.readline(), PATIENCE_S)
+        writer.close()
+        return answer
+
+
+async def until(check: Callable[[], Any], what: str) -> None:
+    """Wait until `check` gives something true."""
+    end = asyncio.get_running_loop().time() + PATIENCE_S
+    while not check():
+        assert asyncio.get_running_loop().time() < end, f"never came: {what}"
+        await asyncio.sleep(0.005)
+
+
+def with_clients(test: Callable[[Stand], Awaitable[None]], limit: int = 100) -> None:
+    async def run() -> None:
+        host = EchoHost()
+        server = ClientServer(asyncio.get_running_loop(), host, limit, MEMORY)
+        await server.listen(("127.0.0.1", 0))
+        assert server._listener is not None
+        port = server._listener.sockets[0].getsockname()[1]
+        try:
+            await test(Stand(host, server, port))
+        finally:
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_connection_that_a_client_closed_is_forgotten() -> None:
+    async def test(stand: Stand) -> None:
+        for _ in range(20):
+            assert await stand.ask(bulk(b"PING")) == b"+PONG\r\n"
+        await until(lambda: stand.server.connected == 0, "no connection left")
+
+    with_clients(test)
