Close the connection of an attempt that is given up

Seen: with a server that says nothing, 16 given-up attempts took every place at it for good (the test), and nothing was sent there again. PROTOCOL: a router gives up an attempt by closing its connection. Fault: upstream.py, Exchange.give_up unhooked the exchange and left its connection as it was: neither idle nor closed until the server spoke. Checked: an attempt that still waits in line is skipped by its `over`.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -74,6 +74,9 @@
         connection = self.connection
         if connection is not None:
             connection.exchange = None
+            # Danger: one left open holds a place for as long as its server is silent, and the server
+            # goes on taking the attempt for one that is out.
+            connection.close()
         self.end(outcome)
 
 
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,118 @@
+"""The server side alone, in this process, over loopback sockets: one test for each failure found."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from beacongw import CacheNote, Outcome
+from holdpick import http, resp
+from holdpick.caches import CacheConnection
+from holdpick.config import Address
+from holdpick.origin import OriginConnection
+from holdpick.upstream import PER_SERVER, Exchange, Pool
+from tests.sockets import PATIENCE_S, hit
+
+Answer = Callable[[bytes], bytes]
+
+
+class Ask(Exchange):
+    """One request, and how it ended."""
+
+    def __init__(self, name: bytes, is_http: bool = False) -> None:
+        self.name, self._http = name, is_http
+        self.end_came: asyncio.Future[tuple[Outcome, bytes | None]]
+        self.end_came = asyncio.get_running_loop().create_future()
+
+    def request_bytes(self, address: Address) -> bytes:
+        if self._http:
+            return http.request("GET", "/" + self.name.decode(), "origin")
+        return resp.command(b"KV.GET", self.name, self.name, b"c=get,t=acme,d=1000")
+
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        self.end_came.set_result((outcome, value))
+
+    async def came(self) -> tuple[Outcome, bytes | None]:
+        return await asyncio.wait_for(asyncio.shield(self.end_came), PATIENCE_S)
+
+
+class Stand:
+    """A pool with one server that answers as told; b"" answers nothing."""
+
+    def __init__(self, pool: Pool, is_http: bool) -> None:
+        self.pool, self._http = pool, is_http
+        self.answer: Answer = hit
+        self.open = self.accepted = 0
+        self.seen: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open += 1
+        self.accepted += 1
+        try:
+            while data := await reader.read(65536):
+                name = data.split()[1][1:] if self._http else data.split(b"\r\n")[4]
+                self.seen.append(name)
+                writer.write(self.answer(name))
+        except OSError:
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+    async def ask(self, name: bytes) -> tuple[Outcome, bytes | None]:
+        return await self.submit(name).came()
+
+    def submit(self, name: bytes) -> Ask:
+        exchange = Ask(name, self._http)
+        self.pool.submit("s1", exchange)
+        return exchange
+
+
+def with_pool(test: Callable[[Stand], Awaitable[None]], is_http: bool = False, port: int = 0) -> None:
+    """Run a test over a pool with one server; with a port given, nobody listens there."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        stand = Stand(Pool(loop, 64, 5.0, 60.0), is_http)
+        server = None if port else await asyncio.start_server(stand.serve, "127.0.0.1", 0)
+        at = server.sockets[0].getsockname()[1] if server is not None else port
+        stand.pool.list_server("s1", ("127.0.0.1", at), OriginConnection if is_http else CacheConnection)
+        try:
+            await test(stand)
+        finally:
+            stand.pool.close()
+            if server is not None:
+                server.close()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(until(lambda: not stand.open, "closed"), 1.0)
+
+    asyncio.run(run())
+
+
+async def until(check: Callable[[], bool], what: str) -> None:
+    """Wait until `check` holds."""
+    end = asyncio.get_running_loop().time() + PATIENCE_S
+    while not check():
+        assert asyncio.get_running_loop().time() < end, f"never came: {what}"
+        await asyncio.sleep(0.005)
+
+
+def test_given_up_attempt_closes_its_connection_and_frees_its_place() -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: hit(name) if name == b"last" else b""
+        silent = [stand.submit(b"r%d" % i) for i in range(PER_SERVER)]
+        await until(lambda: len(stand.seen) == PER_SERVER, "all attempts")
+        for exchange in silent:
+            exchange.give_up(Outcome.TIMEOUT)
+        assert [(await exchange.came())[0] for exchange in silent] == [Outcome.TIMEOUT] * PER_SERVER
+        await until(lambda: not stand.open, "the connections of what was given up are closed")
+        assert await stand.ask(b"last") == (Outcome.OK, b"last")
+
+    with_pool(test)
