End the attempt that waits for a connection which is refused

Seen: an attempt at a closed port had no outcome until its own time-out (the test, 20 s without one). Fault: upstream.py, Pool._dial_failed took the attempt off the queue and left the loop without telling it. The module then learned of a time-out at the deadline, not of a server that is down: no other server was tried. Checked and ruled out: a dial that times out comes the same way; the count of descriptors is given back in _dial; an unlisted server ends what waits for it in _retire.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -336,6 +336,9 @@
         while server.waiting:
             exchange = server.waiting.popleft()
             if not exchange.over:
+                # Guards against a dead server that looks like a slow one: without its end the attempt
+                # lasts until its time is up, and nobody tries another server.
+                exchange.end(Outcome.CONNECT_FAILED)
                 break
         self._dial_for(server)
         self._forget(server)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,7 +12,7 @@
 from holdpick.config import Address
 from holdpick.origin import OriginConnection
 from holdpick.upstream import PER_SERVER, Exchange, Pool
-from tests.sockets import PATIENCE_S, hit
+from tests.sockets import PATIENCE_S, free_port, hit
 
 Answer = Callable[[bytes], bytes]
 
@@ -116,3 +116,11 @@
         assert await stand.ask(b"last") == (Outcome.OK, b"last")
 
     with_pool(test)
+
+
+def test_refused_connection_ends_the_attempt_that_waits_for_it_at_once() -> None:
+    async def test(stand: Stand) -> None:
+        attempts = [stand.submit(b"r%d" % i) for i in range(3)]
+        assert [(await exchange.came())[0] for exchange in attempts] == [Outcome.CONNECT_FAILED] * 3
+
+    with_pool(test, port=free_port())
