Count a server's regained health from when it was judged

Fault: logic.py, Node.chance added now / REGAIN, the time since the clock's start, to the chance. On a machine that has been up for a minute that is always 1: nobody was ever out or shed. The tests' clock begins at 0. Checked and ruled out: judge itself, the outcomes that reach it, the clock's unit.

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -61,11 +61,14 @@
         self.down = False
         self.unheard = 0
         self.pace = Pace()
-        self._chance = 1.0
+        self._chance, self._judged_at = 1.0, 0
 
     def chance(self, now: int) -> float:
-        """Return the chance to be sent to."""
-        return min(1.0, self._chance + now / REGAIN) if self._chance < 1.0 else 1.0
+        """Return the chance to be sent to; it is regained by the time since it was judged.
+
+        Danger: by the clock alone a machine that has been up for a minute would hold nothing against anyone.
+        """
+        return min(1.0, self._chance + (now - self._judged_at) / REGAIN) if self._chance < 1.0 else 1.0
 
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
@@ -77,7 +80,7 @@
             chance = max(chance * PASS_CUT, PASS_FLOOR)
         elif outcome in (Outcome.OK, Outcome.MISS):
             chance, self.down = min(1.0, chance + PASS_RISE), False
-        self._chance = chance
+        self._chance, self._judged_at = chance, now
 
 
 class SlotTable:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -192,6 +192,19 @@
     assert set(full) == {server.id for server in fleet(5)}  # the one slot asked for is hot: all own it
 
 
+def test_dead_server_stays_out_whatever_the_clock_showed_at_first() -> None:
+    # Found on real sockets: the clock counts from the machine's start, and nobody was ever out for long.
+    day = 86_400 * S
+    router = started(settings(tenants=()), fleet(5), now=day)
+    dead = only_send(router.handle(request("r", day), day))
+    router.handle(ended(dead, Outcome.CONNECT_FAILED), day)
+    early = [only_send(router.handle(request(f"s{i}", day), day + 900 * MS)) for i in range(40)]
+    assert dead.server not in {send.server for send in early}
+    later = day + 12 * S
+    tried = [only_send(router.handle(request(f"t{i}", later), later)).server for i in range(40)]
+    assert 0 < tried.count(dead.server) < 30
+
+
 def test_congested_server_sheds_tenants_over_their_portion_first() -> None:
     router = started(settings(), fleet(1))
     for i in range(300):  # b asks for two thirds of the traffic, its portion is 0.4
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -114,6 +114,15 @@
         assert bad.seen
 
 
+def test_server_that_breaks_every_connection_is_left_alone(tmp_path: Path) -> None:
+    bad, good = Peer(lambda connection, _: reset(connection)), Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": bad, "s2": good}) as router:
+        client = router.client()
+        for i in range(80):  # keys enough that each cache is asked first for about half of them
+            assert client.ask(get(f"r{i}", f"k{i}")) == b"r%d" % i
+        assert 2 <= len(bad.seen) < 20
+
+
 def test_silent_server_costs_an_attempt_its_time_and_nothing_more(tmp_path: Path) -> None:
     silent = Peer(lambda _, words: None)
     with routed(tmp_path, {"s1": silent}) as router:
