Serve a cache's good answer whatever noise follows it

Seen: an answer with noise right behind it in the same bytes ended as an error (two of the test's four cases). Fault: caches.py, CacheConnection._read asked hiredis for a second answer only to learn whether there is more; on noise that raises, and the first answer was thrown away. Whether bytes are left tells the same. Ruled out: answers cut at any byte, at 1, 7 and 1000 bytes a read, are read whole; a second copy behind was served.

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -77,7 +77,6 @@
     def _read(self) -> None:
         try:
             answer = self._reader.gets()
-            junk = answer is not False and self._reader.gets() is not False
         except hiredis.ProtocolError as error:
             self.spoil(f"broke the protocol: {error}")
             return
@@ -85,8 +84,9 @@
             if self._came > LARGE + MAX_REST:
                 self.spoil("sent more beside the value than an answer has")
             return
-        # Danger: more bytes after the answer would be taken for the next request's answer.
-        self.retired = self.retired or junk or self._reader.has_data()
+        # Danger: more bytes after the answer would be taken for the next request's answer. What they are
+        # does not matter, and the answer ahead of them is good: read on, noise would spoil it.
+        self.retired = self.retired or self._reader.has_data()
         streamed = self._length > 0
         self._begun, self._came, self._length = False, 0, 0
         if isinstance(answer, hiredis.ReplyError):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
+import pytest
+
 from beacongw import CacheNote, Outcome
 from holdpick import http, resp
 from holdpick.caches import CacheConnection
@@ -124,3 +126,14 @@
         assert [(await exchange.came())[0] for exchange in attempts] == [Outcome.CONNECT_FAILED] * 3
 
     with_pool(test, port=free_port())
+
+
+@pytest.mark.parametrize("more", [hit(b"copy"), b"\x00\xff noise\r\n", b"*3\r\n$", b"-ERR again\r\n"])
+def test_cache_answer_with_more_behind_it_counts_and_its_connection_is_retired(more: bytes) -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: hit(name) + more
+        for i in range(3):
+            assert await stand.ask(b"r%d" % i) == (Outcome.OK, b"r%d" % i)
+        assert stand.accepted == 3
+
+    with_pool(test)
