Serve the origin's good answer with 1xx ahead of it or bytes behind it

Seen: a 100 or 103 ahead, a second copy or noise behind: all five cases of the test ended as a spoilt answer. Fault: http.py, HttpReader.on_headers_complete raised on every interim answer, which HTTP/1.1 lets a server send at any time; on_message_begin and feed_data raised on what follows a whole answer. Such bytes now retire the connection and take nothing from the answer. A 101 stays an error: nobody asked for another protocol. Checked: what follows overwrites neither status nor headers of the answer.

--- a/holdpick/http.py
+++ b/holdpick/http.py
@@ -22,11 +22,8 @@
         self.headers: dict[bytes, bytes] = {}
         self._head = 0
         self._in_body = self._whole = self._keep = False
-
-    @property
-    def status(self) -> int:
-        """The status code of the answer being read."""
-        return self._parser.get_status_code()
+        self.status = 0
+        """The status code of the answer being read, once its head is whole."""
 
     def read(self, data: bytes) -> bool:
         """Read a part of an answer; returns whether the answer is whole."""
@@ -35,7 +32,10 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise HttpError(str(error) or type(error).__name__) from None
+            # Guards a good answer against what follows it: noise or a copy ends the connection's use only.
+            if not self._whole:
+                raise HttpError(str(error) or type(error).__name__) from None
+            self._keep = False
         if not self._in_body and self._head > MAX_HEAD:
             raise HttpError("head too long")
         return self._whole
@@ -48,31 +48,35 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by httptools."""
-        self.headers[name.lower()] = value
+        if not self._whole:
+            self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
-        """Called by httptools."""
-        if self.status < 200:
-            raise HttpError("interim answers were not asked for")
+        """Called by httptools; an interim answer (1xx) has no body and says nothing that is wanted."""
+        if self._whole or self._parser.get_status_code() < 200:
+            return
+        self.status = self._parser.get_status_code()
         self._in_body = True
         length = self.headers.get(b"content-length")
         self.body_starts(int(length) if length is not None and length.isdigit() else None)
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools."""
-        if self._whole:
-            raise HttpError("more than one answer")
-        self.body_came(data)
+        if not self._whole:
+            self.body_came(data)
 
     def on_message_begin(self) -> None:
         """Called by httptools: a second answer in the same bytes is none that was asked for."""
         if self._whole:
-            raise HttpError("more than one answer")
+            self._keep = False
 
     def on_message_complete(self) -> None:
         """Called by httptools."""
-        self._whole = True
-        self._keep = self._parser.should_keep_alive()
+        if self._in_body and not self._whole:
+            self._whole = True
+            self._keep = self._parser.should_keep_alive()
+        elif not self._whole:
+            self.headers.clear()  # those of an interim answer
 
     def body_starts(self, length: int | None) -> None:
         """Take the end of the head and the body's length, if it is stated."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,7 +14,7 @@
 from holdpick.config import Address
 from holdpick.origin import OriginConnection
 from holdpick.upstream import PER_SERVER, Exchange, Pool
-from tests.sockets import PATIENCE_S, free_port, hit
+from tests.sockets import PATIENCE_S, free_port, hit, http_answer
 
 Answer = Callable[[bytes], bytes]
 
@@ -137,3 +137,27 @@
         assert stand.accepted == 3
 
     with_pool(test)
+
+
+@pytest.mark.parametrize(
+    "more", [http_answer(200, b"copy"), http_answer(500), b"\x00\xff noise", b"HTTP/1.1 2"]
+)
+def test_origin_answer_with_more_behind_it_counts_and_its_connection_is_retired(more: bytes) -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: http_answer(200, name) + more
+        for i in range(3):
+            assert await stand.ask(b"r%d" % i) == (Outcome.OK, b"r%d" % i)
+        assert stand.accepted == 3
+
+    with_pool(test, is_http=True)
+
+
+def test_interim_answers_ahead_of_the_origins_answer_are_passed_over() -> None:
+    async def test(stand: Stand) -> None:
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n"
+        stand.answer = lambda name: interim + http_answer(200, name)
+        for i in range(3):
+            assert await stand.ask(b"r%d" % i) == (Outcome.OK, b"r%d" % i)
+        assert stand.accepted == 1
+
+    with_pool(test, is_http=True)
