Close clients' connections on which nothing is asked

Fault: clients.py, ClientConnection.check looked at stalled answers and half commands only. Nothing in the code closes an idle connection but the limit itself: this safeguard is missing whole. Ruled out: a client that waits for its answer is not idle and is kept, however long that takes (same test).

--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -14,6 +14,7 @@
 BACKLOG = 1024
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
+IDLE_S = 2.0  # after which a connection without an open request may be closed, also one that never had any
 COMMAND_S = 5.0  # in which a command must be whole; PROTOCOL gives clients 2 s
 STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.5
@@ -229,6 +230,8 @@
             replies.popleft()
             if replies:
                 replies[0].its_turn()
+        if not replies:
+            self.used_at = self.server.loop.time()
         if not replies and self._last and self.transport is not None:
             self.transport.close()
         elif not self._reading:
@@ -291,6 +294,12 @@
                 log.warning("a client takes nothing of its answer")
                 self.abort()
             return
+        if self.idle:
+            # Guards the limit and the memory against clients that connect and say nothing, or ask once
+            # and keep their connection for good.
+            if now - self.used_at > IDLE_S and self.transport is not None:
+                self.transport.close()
+            return
         midway = self._reader.need and not self._starved and not self.replies
         if midway and now - self._begun_at > COMMAND_S:
             log.warning("a client does not finish its command")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,9 +6,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from holdpick.clients import ClientServer, Reply
+from holdpick.clients import IDLE_S, SWEEP_S, ClientServer, Reply
 from holdpick.resp import Command
-from tests.sockets import PATIENCE_S, bulk
+from tests.sockets import PATIENCE_S, bulk, get
 
 MEMORY = 8 << 20
 
@@ -81,3 +81,23 @@
         await until(lambda: stand.server.connected == 0, "no connection left")
 
     with_clients(test)
+
+
+def test_clients_that_say_nothing_or_no_more_are_closed_and_waiting_ones_are_not() -> None:
+    async def test(stand: Stand) -> None:
+        stand.host.holding = True
+        waiting_reader, waiting_writer = await stand.connect()
+        waiting_writer.write(get("waits"))
+        await until(lambda: stand.host.held, "the request")
+        silent, _ = await stand.connect()
+        asked, asked_writer = await stand.connect()
+        asked_writer.write(bulk(b"PING"))
+        assert await asked.readline() == b"+PONG\r\n"
+        for reader in (silent, asked):
+            assert await asyncio.wait_for(reader.read(), PATIENCE_S) == b""
+        await until(lambda: stand.server.connected == 1, "only the one that waits is left")
+        stand.host.held[0].send(b"+served\r\n")
+        assert await asyncio.wait_for(waiting_reader.readline(), PATIENCE_S) == b"+served\r\n"
+
+    assert IDLE_S + SWEEP_S < 3.0  # DAYS
+    with_clients(test)
