Take new configurations on SIGHUP

Fault: nothing handled the signal, and its default ends the process. On SIGHUP the file of LB_CONFIG is now read again for `discovery` (LB_DISCOVERY is that of the start and does not count then). The watch at the old address goes on until the new one has told its whole list, so that nothing told in between is missed; a file that can't be used is read again for 2 s, then named in one line, and all stays as it was. Tested over sockets: a new discovery that is silent at first, bad files, a half-written file.

--- a/holdpick/__main__.py
+++ b/holdpick/__main__.py
@@ -14,7 +14,7 @@
 from beacongw import ListKind
 from beacongw.interface import NS_PER_S
 from holdpick.clients import ClientServer
-from holdpick.config import Config, ConfigError, load_config
+from holdpick.config import Config, ConfigError, load_config, reload_discovery
 from holdpick.discovery import Clock, Discovery, Listing, read_listing
 from holdpick.log import make_logger
 from holdpick.router import RouterHost
@@ -25,6 +25,7 @@
 MIDWAY_S = 0.65
 KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
 DRAIN_STEP_S = 0.01
+RELOAD_TRIES, RELOAD_STEP_S = 20, 0.1  # for a file that is still being written
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 CLIENT_SHARE = 0.6
 BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
@@ -64,6 +65,17 @@
         known = read_listing(config.known, clock, ListKind.CACHED)
         discovery.generation = known.generation
         host.servers_changed(known)
+    reloads: set[asyncio.Task[None]] = set()
+
+    def reload() -> None:
+        for earlier in reloads:
+            earlier.cancel()
+        task = loop.create_task(_reload(discovery))
+        reloads.add(task)
+        task.add_done_callback(reloads.discard)
+
+    # Danger: where nobody takes SIGHUP, it ends the process.
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await clients.listen(config.listen)
     if not asked:
         discovery.start()
@@ -77,6 +89,18 @@
     await asyncio.sleep(0)
 
 
+async def _reload(discovery: Discovery) -> None:
+    """Take discovery's address from the file anew; a file that can't be used changes nothing."""
+    for tries_left in reversed(range(RELOAD_TRIES)):
+        try:
+            discovery.move(reload_discovery(os.environ))
+            return
+        except ConfigError as error:
+            if not tries_left:
+                log.error("the configuration stays as it was: %s", error)
+        await asyncio.sleep(RELOAD_STEP_S)
+
+
 async def _drain(
     loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost, clients: ClientServer
 ) -> None:
--- a/holdpick/config.py
+++ b/holdpick/config.py
@@ -69,6 +69,11 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def reload_discovery(environ: Mapping[str, str]) -> Address:
+    """Read the file again for discovery's address: LB_DISCOVERY is that of the start and does not count."""
+    return load_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"}).discovery
+
+
 def _positive(where: str, value: Any, default: int) -> int:
     if value is None:
         return default
--- a/holdpick/discovery.py
+++ b/holdpick/discovery.py
@@ -134,6 +134,44 @@
             self.transport.abort()
 
 
+class _Watch:
+    """The calls at one address: the whole list or a watch, and the version that they have come to."""
+
+    def __init__(self, address: Address, clock: Clock, generation: int, whole: bool) -> None:
+        self.address, self.generation, self._clock = address, generation, clock
+        self._whole = whole  # the next call asks for the whole list
+        self._call: _Call | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def ask_once(self, wait_ms: int) -> Listing:
+        """Make one call; raises an exception of any kind where nothing came of it."""
+        target = LIST_PATH if self._whole else f"{LIST_PATH}?index={self.generation}&wait={wait_ms}"
+        limit = LIST_TIMEOUT_S if self._whole else wait_ms / 1000 + CALL_SLACK_S
+        try:
+            async with asyncio.timeout(limit):
+                if self._call is None or not self._call.usable:
+                    loop = asyncio.get_running_loop()
+                    _, self._call = await loop.create_connection(_Call, *self.address)
+                host, port = self.address
+                status, body = await self._call.ask(target, f"{host}:{port}")
+        except BaseException:
+            if self._call is not None:
+                self._call.close()
+            raise
+        if status != 200:
+            raise ValueError(f"answered {status}")
+        listing = read_listing(orjson.loads(body), self._clock)
+        self.generation, self._whole = listing.generation, False
+        return listing
+
+    def close(self) -> None:
+        """End the calls."""
+        if self.task is not None:
+            self.task.cancel()
+        if self._call is not None:
+            self._call.close()
+
+
 class Discovery:
     """Keeps the list of servers up to date; a failed call changes nothing of what is held."""
 
@@ -147,63 +185,77 @@
     ) -> None:
         self._address, self._asked, self._clock = address, asked, clock
         self._take, self._failed = take, failed
-        self._call: _Call | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._watch: _Watch | None = None
+        self._next: _Watch | None = None  # at the address that the watch moves to, until it has spoken
         self.generation = 0
 
     def start(self) -> None:
         """Follow the list."""
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._watch = self._begin(whole=True)
 
     def subscribe(self) -> None:
         """Begin a watch, unless one is on."""
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._watch_asked())
+        if self._watch is None and self._next is None:
+            self._watch = self._begin(whole=False)
+
+    def move(self, address: Address) -> None:
+        """Go on at another address; the watch at the old one lasts until the new one has spoken."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._next is not None:
+            self._next.close()
+            self._next = None
+        if self._watch is not None:
+            if self._watch.address != address:
+                self._next = self._begin(whole=True)
+        elif not self._asked:
+            self.start()
 
     def close(self) -> None:
         """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
-        if self._call is not None:
-            self._call.close()
-
-    async def _follow(self) -> None:
-        whole, down = True, False
+        for watch in (self._watch, self._next):
+            if watch is not None:
+                watch.close()
+        self._watch = self._next = None
+
+    def _begin(self, whole: bool) -> _Watch:
+        watch = _Watch(self._address, self._clock, self.generation, whole)
+        run = self._watch_asked(watch) if self._asked else self._follow(watch)
+        watch.task = asyncio.get_running_loop().create_task(run)
+        return watch
+
+    async def _follow(self, watch: _Watch) -> None:
+        down = False
         while True:
             try:
-                await self._ask_once(whole, PUSHED_WAIT_MS)
-                whole = down = False
+                self._told(watch, await watch.ask_once(PUSHED_WAIT_MS))
+                down = False
             except Exception as error:
                 if not down:
                     log.warning("discovery: %s", str(error) or type(error).__name__)
                 down = True
                 await asyncio.sleep(RETRY_S)
 
-    async def _watch_asked(self) -> None:
+    async def _watch_asked(self, watch: _Watch) -> None:
         try:
             while True:
-                await self._ask_once(False, ASKED_WAIT_MS)
+                self._told(watch, await watch.ask_once(ASKED_WAIT_MS))
         except Exception as error:
             log.warning("discovery: %s", str(error) or type(error).__name__)
-        self._task = None
-        self._failed()
-
-    async def _ask_once(self, whole: bool, wait_ms: int) -> None:
-        target = LIST_PATH if whole else f"{LIST_PATH}?index={self.generation}&wait={wait_ms}"
-        limit = LIST_TIMEOUT_S if whole else wait_ms / 1000 + CALL_SLACK_S
-        try:
-            async with asyncio.timeout(limit):
-                if self._call is None or not self._call.usable:
-                    loop = asyncio.get_running_loop()
-                    _, self._call = await loop.create_connection(_Call, *self._address)
-                host, port = self._address
-                status, body = await self._call.ask(target, f"{host}:{port}")
-        except BaseException:
-            if self._call is not None:
-                self._call.close()
-            raise
-        if status != 200:
-            raise ValueError(f"answered {status}")
-        listing = read_listing(orjson.loads(body), self._clock)
+        if watch is self._next:
+            self._next = None
+        else:
+            self._watch = None
+        if self._watch is None and self._next is None:
+            self._failed()
+
+    def _told(self, watch: _Watch, listing: Listing) -> None:
+        if watch is self._next:
+            # Guards against a gap: only now does what the old address still has to tell no longer count.
+            if self._watch is not None:
+                self._watch.close()
+            self._watch, self._next = watch, None
+            log.info("discovery: now at %s:%d", *watch.address)
         self.generation = listing.generation
         self._take(listing)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -239,8 +239,10 @@
 class Routed:
     """A running router and its peers."""
 
-    def __init__(self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer) -> None:
-        self.process, self.port, self.discovery = process, port, discovery
+    def __init__(
+        self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer, config: Path
+    ) -> None:
+        self.process, self.port, self.discovery, self.config = process, port, discovery, config
 
     def client(self) -> Client:
         return Client(self.port)
@@ -310,7 +312,7 @@
     process = start_router(folder, told)
     try:
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
-        yield Routed(process, port, discovery)
+        yield Routed(process, port, discovery, folder / "config.json")
     finally:
         if process.poll() is None:
             process.terminate()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -20,8 +21,11 @@
     PATIENCE_S,
     ROOT,
     Client,
+    DiscoveryPeer,
     Peer,
+    Routed,
     bulk,
+    entry,
     eventually,
     get,
     hit,
@@ -222,3 +226,69 @@
     assert result.returncode != 0
     assert len(result.stderr.splitlines()) == 1
     assert words in result.stderr
+
+
+def _reload(router: Routed, discovery_port: int) -> None:
+    config = json.loads(router.config.read_text())
+    config["discovery"] = f"127.0.0.1:{discovery_port}"
+    router.config.write_text(json.dumps(config))
+    router.process.send_signal(signal.SIGHUP)
+
+
+def test_reload_moves_to_another_discovery_and_keeps_the_list_until_that_speaks(tmp_path: Path) -> None:
+    old, new = Peer(lambda _, words: hit(b"old")), Peer(lambda _, words: hit(b"new"))
+    with routed(tmp_path, {"s1": old}) as router:
+        client = router.client()
+        assert client.ask(get("r0")) == b"old"
+        speaks = threading.Event()
+        second = DiscoveryPeer([entry(new, "s2")])
+        answer = second.peer.handler
+        second.peer.handler = lambda connection, words: (speaks.wait(PATIENCE_S), answer(connection, words))[
+            1
+        ]
+        _reload(router, second.peer.port)
+        eventually(lambda: second.peer.seen, "a call of the new discovery")
+        assert router.client().ask(get("r1")) == b"old"
+        third = entry(new, "s3")
+        router.discovery.change(third)  # the old one still counts
+        names = (f"w{i}" for i in range(100_000))
+        eventually(lambda: router.client().ask(get(next(names))) == b"new", "what the old discovery told")
+        router.discovery.peer.close()
+        second.instances = [entry(old, "s1")]
+        speaks.set()
+        eventually(lambda: router.client().ask(get(next(names))) == b"old", "what the new discovery told")
+        second.change(entry(old, "s1", lifecycle="removed"), third)
+        eventually(lambda: router.client().ask(get(next(names))) == b"new", "the new discovery's changes")
+        second.peer.close()
+
+
+@pytest.mark.parametrize("text", ["", '{"listen": "127.0', "[]", '{"discovery": 5}'])
+def test_reload_of_a_bad_file_changes_nothing_and_a_good_one_counts_later(tmp_path: Path, text: str) -> None:
+    old, new = Peer(lambda _, words: hit(b"old")), Peer(lambda _, words: hit(b"new"))
+    with routed(tmp_path, {"s1": old}) as router:
+        good = router.config.read_text()
+        router.config.write_text(text)
+        router.process.send_signal(signal.SIGHUP)
+        assert router.client().ask(get("r0")) == b"old"
+        router.config.write_text(good)
+        second = DiscoveryPeer([entry(new, "s2")])
+        _reload(router, second.peer.port)
+        names = (f"w{i}" for i in range(100_000))
+        eventually(lambda: router.client().ask(get(next(names))) == b"new", "the new discovery's list")
+        second.peer.close()
+
+
+def test_reload_of_a_half_written_file_takes_it_once_it_is_whole(tmp_path: Path) -> None:
+    old, new = Peer(lambda _, words: hit(b"old")), Peer(lambda _, words: hit(b"new"))
+    second = DiscoveryPeer([entry(new, "s2")])
+    with routed(tmp_path, {"s1": old}) as router:
+        told = json.loads(router.config.read_text())
+        told["discovery"] = f"127.0.0.1:{second.peer.port}"
+        whole = json.dumps(told)
+        router.config.write_text(whole[:100])
+        router.process.send_signal(signal.SIGHUP)
+        assert router.client().ask(get("r0")) == b"old"
+        router.config.write_text(whole)
+        names = (f"w{i}" for i in range(100_000))
+        eventually(lambda: router.client().ask(get(next(names))) == b"new", "the new discovery's list")
+    second.peer.close()
