Check the line end behind a cache's value

Seen: hiredis takes as many bytes as a value's length tells and skips the two behind them unseen; a length that is too short, before bytes that happen to read as the rest of the answer, served the value cut off (the test). Fault: caches.py, CacheConnection.answer_came relied on hiredis for it.

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -28,6 +28,7 @@
         self._came = 0  # bytes of the answer that hiredis was given
         self._left = 0  # bytes of a long value, with its line end, that are still to come
         self._length = 0
+        self._value_end = -1  # where in the answer the line end behind a short value stands
 
     def answer_came(self, data: bytes) -> None:
         """Look at the header first: hiredis holds a whole value, so a long one goes past it."""
@@ -54,11 +55,25 @@
                     data = self._pass_on(data[header.end() :])
                     if not data:
                         return
+                else:
+                    self._value_end = header.end() + int(header[1])
             self._begun = True
+        if not self._ends_well(data):
+            self.spoil("sent a value of another length than it told")
+            return
         self._came += len(data)
         self._reader.feed(data)
         self._read()
 
+    def _ends_well(self, data: bytes) -> bool:
+        """Look at the line end behind a value, as far as it comes in these bytes.
+
+        Danger: hiredis skips these two bytes unseen, so a wrong length would cut the value or add to it.
+        """
+        start = self._value_end - self._came
+        places = ((start, 0x0D), (start + 1, 0x0A)) if self._value_end >= 0 else ()
+        return all(data[at] == want for at, want in places if 0 <= at < len(data))
+
     def _start_value(self, length: int) -> None:
         assert self.exchange is not None
         self._length, self._left = length, length + 2
@@ -88,7 +103,7 @@
         # does not matter, and the answer ahead of them is good: read on, noise would spoil it.
         self.retired = self.retired or self._reader.has_data()
         streamed = self._length > 0
-        self._begun, self._came, self._length = False, 0, 0
+        self._begun, self._came, self._length, self._value_end = False, 0, 0, -1
         if isinstance(answer, hiredis.ReplyError):
             self._error(str(answer))
         elif isinstance(answer, list) and answer and isinstance(answer[0], bytes | None):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -161,3 +161,21 @@
         assert stand.accepted == 1
 
     with_pool(test, is_http=True)
+
+
+@pytest.mark.parametrize("told", [3, 11, 19])
+def test_value_of_another_length_than_told_is_not_served(told: int) -> None:
+    async def test(stand: Stand) -> None:
+        value = b"value+of\r\n"  # cut or lengthened so that what follows can be read all the same
+        spoilt = {
+            3: b"*3\r\n$3\r\n" + value + b"$3\r\nhit\r\n$-1\r\n",
+            11: b"*3\r\n$11\r\n" + value + b"$3:1\r\n$-1\r\n",
+            19: b"*3\r\n$19\r\n" + value + b"$3\r\nhitxx$1\r\nx\r\n$-1\r\n",
+        }
+        stand.answer = lambda name: spoilt[told]
+        assert await stand.ask(b"r") == (Outcome.ERROR, None)
+        stand.answer = hit
+        assert await stand.ask(b"s") == (Outcome.OK, b"s")
+        assert stand.accepted == 2
+
+    with_pool(test)
