Count the clients that are only refused in the clients' share of descriptors

One over the limit fails a dial, and the module then takes a good server for dead. Fault: __main__.py, serve gave ClientServer its whole share as limit, and REFUSERS (32) came on top. Ruled out: the pool keeps to its share, dials included.

--- a/holdpick/__main__.py
+++ b/holdpick/__main__.py
@@ -13,7 +13,7 @@
 
 from beacongw import ListKind
 from beacongw.interface import NS_PER_S
-from holdpick.clients import ClientServer
+from holdpick.clients import REFUSERS, ClientServer
 from holdpick.config import Config, ConfigError, load_config, reload_discovery
 from holdpick.discovery import Clock, Discovery, Listing, read_listing
 from holdpick.log import make_logger
@@ -48,7 +48,9 @@
     for_clients = int(descriptors * CLIENT_SHARE)
     pool = Pool(loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
     host = RouterHost(loop, config.settings, config.seed, pool, config.max_open)
-    clients = ClientServer(loop, host, for_clients, int(config.memory * BUDGET_SHARE))
+    # Those that are only refused need descriptors too: beyond the share they would be missing for servers.
+    served = max(for_clients - REFUSERS, for_clients // 2)
+    clients = ClientServer(loop, host, served, int(config.memory * BUDGET_SHARE))
 
     def take(listing: Listing) -> None:
         host.servers_changed(listing)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -228,6 +228,29 @@
     assert words in result.stderr
 
 
+def test_clients_and_servers_keep_to_the_descriptors_together(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(PATIENCE_S)
+        return hit(words[2])
+
+    caches = {f"s{i}": Peer(answer) for i in range(8)}
+    limit = 160
+    with routed(tmp_path, caches, limits={"cores": 1.0, "memory_mb": 64, "sockets": limit}) as router:
+        clients = []
+        for i in range(limit):
+            clients.append(router.client())
+            with contextlib.suppress(OSError):  # one over the limit is closed
+                clients[-1].send(get(f"r{i}", f"k{i}", 15_000))
+        assert clients[-1].at_end()  # by then all that are taken in are taken in
+        eventually(lambda: sum(len(cache.seen) for cache in caches.values()) > 40, "load on both sides")
+        assert router.descriptors() <= limit
+        release.set()
+        for client in clients:
+            client.close()
+
+
 def _reload(router: Routed, discovery_port: int) -> None:
     config = json.loads(router.config.read_text())
     config["discovery"] = f"127.0.0.1:{discovery_port}"
