See at once that a short answer header is broken

Fault: caches.py, CacheConnection.answer_came took anything under 16 bytes for the beginning of a header. Now it must be able to become one. Ruled out: a good answer cut at any byte is still read whole (test).

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -12,7 +12,7 @@
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
-LONGEST_HEADER = 16
+HEADER_BEGUN = re.compile(rb"\*([1-9](\r(\n(\$(-|\d{1,8}\r?)?)?)?)?)?")
 
 _NOTES = {b"hit": CacheNote.HIT, b"miss": CacheNote.MISS, b"pending": CacheNote.FETCH_OUT}
 
@@ -41,7 +41,9 @@
             self._head = b""
             if data[0] == 42 and b"\n$-1" not in data[:8]:
                 header = HEADER.match(data)
-                if header is None and len(data) < LONGEST_HEADER:
+                # Guards against waiting out a request's time for the rest of what can't become a header:
+                # a short broken one, such as an array of arrays, is all that its server sends.
+                if header is None and HEADER_BEGUN.fullmatch(data):
                     self._head = data
                     return
                 if header is None or int(header[1]) > MAX_VALUE:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,7 +14,7 @@
 from holdpick.config import Address
 from holdpick.origin import OriginConnection
 from holdpick.upstream import PER_SERVER, Exchange, Pool
-from tests.sockets import PATIENCE_S, free_port, hit, http_answer
+from tests.sockets import MISS, PATIENCE_S, free_port, hit, http_answer
 
 Answer = Callable[[bytes], bytes]
 
@@ -179,3 +179,31 @@
         assert stand.accepted == 2
 
     with_pool(test)
+
+
+@pytest.mark.parametrize(
+    "header", [b"*1000000000\r\n", b"*3\r\n*3\r\n*3\r\n", b"*0\r\n", b"*3\r\n$\r\n", b"*3\r\n:1\r\n"]
+)
+def test_short_header_that_is_broken_is_seen_at_once(header: bytes) -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: header
+        assert await stand.ask(b"r") == (Outcome.ERROR, None)
+
+    with_pool(test)
+
+
+@pytest.mark.parametrize(("answer", "outcome"), [(hit(b"value"), Outcome.OK), (MISS, Outcome.MISS)])
+def test_answer_cut_at_any_byte_is_read_whole(answer: bytes, outcome: Outcome) -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: b""
+        for cut in range(1, len(answer)):
+            exchange = stand.submit(b"r%d" % cut)
+            await until(lambda it=exchange: it.connection is not None, "a connection")  # type: ignore[misc]
+            connection = exchange.connection
+            assert connection is not None
+            connection.data_received(answer[:cut])
+            assert not exchange.over
+            connection.data_received(answer[cut:])
+            assert (await exchange.came())[0] is outcome
+
+    with_pool(test)
