Cut off a long cache value whose length is wrong

Seen: a value over 64 KiB with a length too short, before bytes that read as the rest of the answer, was served as a whole one (the test). The check of short values does not see it: long ones pass hiredis by. Fault: caches.py, CacheConnection._pass_on took the two bytes behind the value without a look. The client's answer is now cut off, so that it can tell.

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -86,6 +86,11 @@
         exchange = self.exchange
         part, rest = data[: self._left], data[self._left :]
         of_value = max(min(len(part), self._left - 2), 0)
+        line_end = part[of_value:]
+        begun = 2 - (self._left - of_value)  # how much of the line end came before
+        if line_end and line_end != b"\r\n"[begun : begun + len(line_end)]:
+            self.spoil("sent a value of another length than it told")
+            return b""
         self._left -= len(part)
         if exchange is not None and of_value:
             exchange.value_came(part[:of_value])
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -72,6 +72,18 @@
         assert router.client().ask(bulk(b"PING")) == b"+PONG"
 
 
+def test_long_value_of_another_length_than_told_ends_visibly_incomplete(tmp_path: Path) -> None:
+    # What follows the length that was told can be read as the rest of the answer.
+    told = b"*3\r\n$%d\r\n" % len(LONG) + LONG + b"xx+of\r\n$3\r\nhit\r\n$-1\r\n"
+    cache = Peer(lambda _, words: told)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.send(get("l1"))
+        with contextlib.suppress(ConnectionResetError):
+            assert client.answer().startswith(b"cut off")
+        assert router.client().ask(bulk(b"PING")) == b"+PONG"
+
+
 def test_long_value_waits_for_the_answers_before_it(tmp_path: Path) -> None:
     begun = threading.Event()
 
