Hold clients to PROTOCOL's 64 KiB a value, also those that wait for memory

Seen: a command whose value was announced with up to 4 MiB was waited for, and while the bytes set aside for long commands were used up, a client that waited for some was never answered (the test). Fault: resp.py, MAX_VALUE; clients.py, ClientConnection.check left waiting clients out. A server's answers keep the old bound, now MAX_ANSWER. The test of many long commands has values of 64 KiB now.

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -7,7 +7,7 @@
 import hiredis
 
 from beacongw import CacheNote, Outcome
-from holdpick.resp import LARGE, MAX_VALUE
+from holdpick.resp import LARGE, MAX_ANSWER
 from holdpick.upstream import Connection, Server
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
@@ -46,7 +46,7 @@
                 if header is None and HEADER_BEGUN.fullmatch(data):
                     self._head = data
                     return
-                if header is None or int(header[1]) > MAX_VALUE:
+                if header is None or int(header[1]) > MAX_ANSWER:
                     self.spoil("sent an answer with a broken header")
                     return
                 if int(header[1]) > LARGE:
--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -302,7 +302,8 @@
             if now - self.used_at > IDLE_S and self.transport is not None:
                 self.transport.close()
             return
-        midway = self._reader.need and not self._starved and not self.replies
+        # One that waits for bytes to be set aside is owed an answer in the same time.
+        midway = self._reader.need and not self.replies
         if midway and now - self._begun_at > COMMAND_S:
             log.warning("a client does not finish its command")
             self._last = True
--- a/holdpick/origin.py
+++ b/holdpick/origin.py
@@ -4,7 +4,7 @@
 
 from beacongw import Outcome
 from holdpick.http import HttpError, HttpReader
-from holdpick.resp import LARGE, MAX_VALUE
+from holdpick.resp import LARGE, MAX_ANSWER
 from holdpick.upstream import Connection, Server
 
 _NEVER_RAN = (503, 504)
@@ -43,7 +43,7 @@
 
     def body_starts(self, length: int | None) -> None:
         """Pass a long value on as it comes; a short one, or one of unknown length, is gathered."""
-        if length is not None and length > MAX_VALUE:
+        if length is not None and length > MAX_ANSWER:
             raise HttpError("value too long")
         if length is not None and length > LARGE and self.status == 200 and self.exchange is not None:
             self._streaming = True
@@ -56,5 +56,5 @@
                 self.exchange.value_came(data)
             return
         self._body += data
-        if len(self._body) > MAX_VALUE:
+        if len(self._body) > MAX_ANSWER:
             raise HttpError("value too long")
--- a/holdpick/resp.py
+++ b/holdpick/resp.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass
 
-MAX_VALUE = 4 << 20  # PROTOCOL: values hold at most 4 MiB
+# Guards the memory (32 MB on some days) against strangers who announce values that no client has.
+MAX_VALUE = 64 << 10  # PROTOCOL: values hold at most 64 KiB
+MAX_ANSWER = 4 << 20  # a server's value is taken up to this length, in parts where it is over LARGE
 LARGE = 64 << 10
 MAX_PARTS = 16
 MAX_WORD = 16 << 10  # all words of a command but its value together: far more than any has
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 
 from holdpick.clients import COMMAND_S, IDLE_S, SWEEP_S, ClientServer, Reply
 from holdpick.resp import Command
-from tests.sockets import PATIENCE_S, bulk, get
+from tests.sockets import PATIENCE_S, bulk, get, put
 
 MEMORY = 8 << 20
 
@@ -118,3 +118,13 @@
 
     assert COMMAND_S + SWEEP_S < 3.0  # DAYS
     with_clients(test)
+
+
+def test_client_whose_command_finds_no_bytes_set_aside_is_answered_in_time() -> None:
+    async def test(stand: Stand) -> None:
+        assert stand.server.budget.take(None, MEMORY)  # type: ignore[arg-type]
+        reader, writer = await stand.connect()
+        writer.write(put("w", bytes(64 << 10))[:1000])
+        assert (await asyncio.wait_for(reader.read(), PATIENCE_S)).startswith(b"-ERR")
+
+    with_clients(test)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -118,12 +118,12 @@
 
 def test_long_commands_of_many_clients_are_read_in_turn(tmp_path: Path) -> None:
     origin = Peer(lambda _, message: http_answer(200, b"%d" % len(message[3])), True)
-    limits = {"cores": 1.0, "memory_mb": 128, "sockets": 256}
-    value = bytes(4 << 20)
+    limits = {"cores": 1.0, "memory_mb": 32, "sockets": 512}
+    value = bytes(64 << 10)
     with routed(tmp_path, {}, origin, limits=limits) as router:
-        stuck = [router.client() for _ in range(3)]
+        stuck = [router.client() for _ in range(120)]  # more than what is set aside is enough for
         for i, client in enumerate(stuck):
-            client.send(put(f"stuck{i}", value)[:1_000_000])
+            client.send(put(f"stuck{i}", value)[:1000])
         answers: list[bytes] = []
 
         def write(i: int) -> None:
@@ -137,7 +137,9 @@
         for writer in writers:
             writer.join(PATIENCE_S)
         assert answers == [b"%d" % len(value)] * 12
-        assert router.memory_kb() < 128 * 1024
+        for client in stuck:
+            assert client.answer().startswith(b"-ERR")
+        assert router.memory_kb() < 64 * 1024
 
 
 def test_deep_pipeline_is_answered_in_order(tmp_path: Path) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -233,7 +233,7 @@
         (b"*1\r\n+PING\r\n", b"Protocol error", True),
         (b"*999999999\r\n", b"Protocol error", True),
         (b"*1\r\n$4\r\nPINGxx", b"Protocol error", True),
-        (b"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nc\r\n$4194305\r\n", b"too long", True),
+        (b"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nc\r\n$65537\r\n", b"too long", True),
         (bulk(b"KV.GET", b"k", b"id"), b"number of arguments", False),
         (bulk(b"KV.SET", b"k", b"id", b"c=put,d=9"), b"number of arguments", False),
         (bulk(b"FLUSHALL"), b"unknown command", False),
