End attempts at a listed host that can be none

Fault: upstream.py, Pool._dial expected OSError only. Names that can't be resolved raised that and were ended.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -316,8 +316,8 @@
                 await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
             if connecting.done():
                 _, connection = connecting.result()
-        except OSError:
-            pass
+        except (OSError, ValueError):
+            pass  # a listed name that can't be one of a host raises UnicodeError: nobody is there either
         finally:
             server.dials.discard(task)
             if connection is None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -128,6 +128,15 @@
     with_pool(test, port=free_port())
 
 
+@pytest.mark.parametrize("host", ["x" * 80, "a..b", "\ud800"])
+def test_listed_host_that_can_be_none_ends_its_attempts_at_once(host: str) -> None:
+    async def test(stand: Stand) -> None:
+        stand.pool.list_server("s1", (host, 80), CacheConnection)
+        assert await stand.ask(b"r") == (Outcome.CONNECT_FAILED, None)
+
+    with_pool(test)
+
+
 @pytest.mark.parametrize("more", [hit(b"copy"), b"\x00\xff noise\r\n", b"*3\r\n$", b"-ERR again\r\n"])
 def test_cache_answer_with_more_behind_it_counts_and_its_connection_is_retired(more: bytes) -> None:
     async def test(stand: Stand) -> None:
