Judge no server by a kept connection that breaks

Checked and ruled out: how long the connection had been unused (most under 0.5 s, so no shorter idle time would help); descriptors (142 of 384 in use); the origin's answers. Fault: logic.py, Node.judge and Router._judge_fetch took every break for the server's. upstream.py knows better and now says so (`stale`): such a break is tried again at once, within the limits on attempts and repeats, and judges nobody. A server that has died refuses the new connection, which is judged as before. A late break, and a break of a new connection, count as they did.

--- a/beacongw/interface.py
+++ b/beacongw/interface.py
@@ -195,6 +195,8 @@
     latency: int
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
+    stale: bool = False
+    """A kept connection broke without a byte of an answer: this tells of its age, not of the server."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -413,9 +413,11 @@
         request.out = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
+        # A kept connection that breaks says nothing of its server: nobody is judged by it, or asked less.
+        stale = event.stale and not late
         if fetched:
             self._judge_fetch(node, event, late)
-        else:
+        elif not stale:
             node.judge(outcome, late, self._now)
             if outcome in (Outcome.OK, Outcome.MISS):
                 node.pace.learn(event.latency)
@@ -427,7 +429,7 @@
         elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
             self._missed(request)
         elif fetched:
-            self._fetch_failed(request, outcome, late)
+            self._fetch_failed(request, outcome, late, stale)
         else:
             if (
                 outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
@@ -445,7 +447,7 @@
             self._width += 1 / self._width
             for guard in self._guards.values():
                 guard.rise(self._now)
-        elif late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT):
+        elif late or not (event.stale or event.outcome in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT)):
             # A time-out that is not late had too little time left: not the origin's fault.
             self._origin_bad += (1 - self._origin_bad) / BAD_SAMPLES
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
@@ -462,12 +464,12 @@
                 # Danger: after a change of the origin's entry its new node, not this one, is full for good.
                 break
 
-    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool) -> None:
+    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool, stale: bool) -> None:
         """A write is tried again after a pause; a read is the client's to retry, to spare the origin.
 
         An attempt that counts as lost is made once more at once: it was none of the origin's doing.
         """
-        if outcome is Outcome.TIMEOUT and not late and not request.refetching:
+        if (stale or (outcome is Outcome.TIMEOUT and not late)) and not request.refetching:
             request.refetching = True
             self._fetch(request)
             return
--- a/holdpick/router.py
+++ b/holdpick/router.py
@@ -161,9 +161,9 @@
             request.closed = True
             reply.send(resp.bulk(value))
         latency = self._latency or time.monotonic_ns() - self._sent_at
-        load = self._host.load(report)
+        load, stale = self._host.load(report), self.stale and outcome is Outcome.RESET
         event = AttemptEnded(
-            request.id, self._number, self._server, outcome, request.closed, latency, note, load
+            request.id, self._number, self._server, outcome, request.closed, latency, note, load, stale
         )
         self._host.settle(request)
         self._host.tell(event)
--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -36,6 +36,8 @@
     connection: Connection | None = None
     over = False
     is_probe = False
+    stale = False
+    """Ended with a connection that had served before and broke without a byte of an answer."""
 
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
@@ -90,6 +92,7 @@
         self.idle_since = 0.0
         self.unsent = False
         self.retired = False
+        self._kept = self._answering = False  # has served before; a part of the answer has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -140,6 +143,7 @@
     ) -> None:
         """End the exchange with its answer; the connection is free."""
         exchange, self.exchange = self.exchange, None
+        self._kept, self._answering = True, False
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note, report)
@@ -158,6 +162,7 @@
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
             return
+        self._answering = True
         try:
             self.answer_came(data)
         except Exception:
@@ -174,6 +179,8 @@
         exchange, self.exchange = self.exchange, None
         self.server.pool.lost(self)
         if exchange is not None:
+            # Guards a sound server's name: kept connections break on their own, above all unused ones.
+            exchange.stale = self._kept and not self._answering
             exchange.end(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -67,7 +67,12 @@
 
 
 def ended(
-    send: Send, outcome: Outcome, attempt: int = 0, closed: bool | None = None, latency: int = 20 * MS
+    send: Send,
+    outcome: Outcome,
+    attempt: int = 0,
+    closed: bool | None = None,
+    latency: int = 20 * MS,
+    stale: bool = False,
 ) -> AttemptEnded:
     return AttemptEnded(
         request=send.request,
@@ -76,6 +81,7 @@
         outcome=outcome,
         closed=outcome is Outcome.OK if closed is None else closed,
         latency=latency,
+        stale=stale,
     )
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -478,3 +478,28 @@
     assert again.server == first.server
     other = only_send(router.handle(ended(again, Outcome.RESET, 1), 10 * MS))
     assert other.server not in (first.server, ORIGIN.id)
+
+
+def test_kept_connections_that_break_eject_no_server_and_cut_nobody() -> None:
+    # Found on the day of resets: two broken connections took a sound server out, and the origin's cut all.
+    router = started(settings(), fleet(5))
+    first = only_send(router.handle(request("r"), 0))
+    caps = [guard.limit for guard in router._guards.values()]
+    actions = router.handle(ended(first, Outcome.RESET, stale=True), MS)
+    for attempt in (1, 2):
+        again = only_send(actions)
+        assert again.server == first.server
+        actions = router.handle(ended(again, Outcome.RESET, attempt, stale=True), MS)
+    for i in range(20):
+        send = only_send(router.handle(request(f"s{i}", key=f"k{i}"), 9 * MS))
+        fetch = only_send(router.handle(ended(send, Outcome.MISS), 9 * MS))
+        once_more = only_send(router.handle(ended(fetch, Outcome.RESET, 1, stale=True), 9 * MS))
+        assert once_more.server == ORIGIN.id
+        router.handle(ended(once_more, Outcome.OK, 2), S)
+    assert [guard.limit for guard in router._guards.values()] == caps
+
+
+def test_unsafe_write_on_a_kept_connection_that_breaks_is_not_repeated() -> None:
+    router = started(settings(), fleet(3))
+    send = only_send(router.handle(request("w", cls="order"), 0))
+    assert router.handle(ended(send, Outcome.RESET, stale=True), MS) == [Fail("w")]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,20 @@
 
 import pytest
 
-from tests.sockets import MISS, Peer, bulk, entry, eventually, get, hit, http_answer, put, reset, routed
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    put,
+    reset,
+    routed,
+)
 
 
 def fields(info: bytes) -> dict[str, str]:
@@ -123,6 +136,26 @@
         assert 2 <= len(bad.seen) < 20
 
 
+def test_server_whose_kept_connections_break_goes_on_being_asked(tmp_path: Path) -> None:
+    served: dict[socket.socket, int] = {}
+    both = threading.Barrier(2)
+
+    def answer(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        served[connection] = served.get(connection, 0) + 1
+        if words[2] in (b"first", b"second"):
+            both.wait(PATIENCE_S)  # so that there are two connections, each with an answer
+        return hit(words[2]) if served[connection] == 1 else reset(connection)
+
+    shaky = Peer(answer)
+    with routed(tmp_path, {"s1": shaky}) as router:
+        one, two = router.client(), router.client()
+        one.send(get("first"))
+        two.send(get("second"))
+        assert (one.answer(), two.answer()) == (b"first", b"second")
+        assert one.ask(get("third")) == b"third"  # after two breaks, on a new connection
+        assert len(shaky.seen) == 5
+
+
 def test_silent_server_costs_an_attempt_its_time_and_nothing_more(tmp_path: Path) -> None:
     silent = Peer(lambda _, words: None)
     with routed(tmp_path, {"s1": silent}) as router:
