--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -188,7 +188,6 @@
 
     cache = Peer(answer)
     with routed(tmp_path, {"s1": cache}) as router:
-        slow = router.client()
         stop, lost, served = threading.Event(), list[str](), list[str]()
         threads = [
             threading.Thread(target=_asking, args=(router.port, stop, lost, served, f"c{i}"))
@@ -197,6 +196,7 @@
         for thread in threads:
             thread.start()
         eventually(lambda: len(served) > 30, "load")
+        slow = router.client()
         slow.send(get("taken"))
         router.terminate()
         late = router.client()  # it still accepts for a while
