Give back what an unfinished command had set aside as soon as its time is up

Seen: in a fresh clone the test of many long commands failed once of two runs: clients that had waited for bytes behind stuck ones got the error of those, since the change that bounds that wait. They are now free before the next is looked at.

--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -306,6 +306,9 @@
         midway = self._reader.need and not self.replies
         if midway and now - self._begun_at > COMMAND_S:
             log.warning("a client does not finish its command")
+            # Guards those that wait for bytes behind it: they are checked next, and have waited as long.
+            reserved, self._reserved = self._reserved, 0
+            self.server.budget.give_back(reserved)
             self._last = True
             reply = Reply(self)
             self.replies.append(reply)
