Lay the house out: one package, a room for each concern

Need: two import packages with inherited names stood side by side, and nothing new had a place to go.

Change: pebblepass/decisions holds the module, pebblepass/daemon the running router, pebblepass/membership the platform's registry, pebblepass/wire what is encoded and read (RESP2, HTTP/1.1, addresses); the adapter is pebblepass.adapter. No behaviour changes.

--- a/beacongw/adapter.py
+++ b/pebblepass/adapter.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from beacongw import interface as api
-from beacongw.logic import Router
-from beacongw.settings import Fields, WireError, choice, read_settings, typed
+from pebblepass.decisions import interface as api
+from pebblepass.decisions.logic import Router
+from pebblepass.decisions.settings import Fields, WireError, choice, read_settings, typed
 
 _OUTCOMES = {
     "completed": api.Outcome.OK,
@@ -188,7 +188,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"beacongw: {error}", file=sys.stderr)
+        print(f"pebblepass: {error}", file=sys.stderr)
         return 2
     return 0
 
--- /dev/null
+++ b/pebblepass/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The running router, which turns sockets into the decisions' events and their actions into sockets."""
--- a/holdpick/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -11,14 +11,14 @@
 
 import uvloop
 
-from beacongw import ListKind
-from beacongw.interface import NS_PER_S
-from holdpick.clients import REFUSERS, ClientServer
-from holdpick.config import Config, ConfigError, load_config, reload_discovery
-from holdpick.discovery import Clock, Discovery, Listing, read_listing
-from holdpick.log import make_logger
-from holdpick.router import RouterHost
-from holdpick.upstream import Pool
+from pebblepass.daemon.clients import REFUSERS, ClientServer
+from pebblepass.daemon.config import Config, ConfigError, load_config, reload_discovery
+from pebblepass.daemon.log import make_logger
+from pebblepass.daemon.router import RouterHost
+from pebblepass.daemon.upstream import Pool
+from pebblepass.decisions import ListKind
+from pebblepass.decisions.interface import NS_PER_S
+from pebblepass.membership.registry import Clock, Discovery, Listing, read_listing
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 ACCEPT_S = 0.5
@@ -32,7 +32,7 @@
 
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("pebblepass")
 
 
 async def serve(config: Config) -> None:
@@ -123,7 +123,7 @@
         if config.known is not None:
             read_listing(config.known, Clock())
     except (ConfigError, ValueError) as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"pebblepass: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
     gc.freeze()
@@ -131,7 +131,7 @@
     try:
         uvloop.run(serve(config))
     except OSError as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"pebblepass: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/holdpick/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -6,9 +6,9 @@
 
 import hiredis
 
-from beacongw import CacheNote, Outcome
-from holdpick.resp import LARGE, MAX_ANSWER
-from holdpick.upstream import Connection, Server
+from pebblepass.daemon.upstream import Connection, Server
+from pebblepass.decisions import CacheNote, Outcome
+from pebblepass.wire.resp import LARGE, MAX_ANSWER
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
--- a/holdpick/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -7,9 +7,9 @@
 from collections import deque
 from typing import Any, Protocol, cast
 
-from holdpick.config import Address
-from holdpick.resp import LARGE, Command, CommandReader, parse_request
-from holdpick.upstream import ValueSource
+from pebblepass.daemon.upstream import ValueSource
+from pebblepass.wire.address import Address
+from pebblepass.wire.resp import LARGE, Command, CommandReader, parse_request
 
 BACKLOG = 1024
 MAX_PIPELINE = 256
@@ -20,7 +20,7 @@
 SWEEP_S = 0.5
 REFUSERS = 32
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("pebblepass")
 
 
 class Host(Protocol):
--- a/holdpick/config.py
+++ b/pebblepass/daemon/config.py
@@ -9,10 +9,9 @@
 
 import orjson
 
-from beacongw import Settings
-from beacongw.settings import WireError, read_settings, typed
-
-Address = tuple[str, int]
+from pebblepass.decisions import Settings
+from pebblepass.decisions.settings import WireError, read_settings, typed
+from pebblepass.wire.address import Address, parse_address
 
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
@@ -46,14 +45,6 @@
     """The list of servers as last held, in discovery's form; it may be old."""
 
 
-def parse_address(where: str, text: Any) -> Address:
-    """Split HOST:PORT; raises ValueError in one plain line."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{where}: expected HOST:PORT, got {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def load_config(environ: Mapping[str, str]) -> Config:
     """Read the configuration; the variables go before what the file says."""
     path = environ.get("LB_CONFIG")
--- a/holdpick/log.py
+++ b/pebblepass/daemon/log.py
@@ -32,7 +32,7 @@
     handler = logging.StreamHandler()
     handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
     handler.addFilter(_Limit())
-    logger = logging.getLogger("holdpick")
+    logger = logging.getLogger("pebblepass")
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
--- a/holdpick/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from beacongw import Outcome
-from holdpick.http import HttpError, HttpReader
-from holdpick.resp import LARGE, MAX_ANSWER
-from holdpick.upstream import Connection, Server
+from pebblepass.daemon.upstream import Connection, Server
+from pebblepass.decisions import Outcome
+from pebblepass.wire.http import HttpError, HttpReader
+from pebblepass.wire.resp import LARGE, MAX_ANSWER
 
 _NEVER_RAN = (503, 504)
 
--- a/holdpick/router.py
+++ b/pebblepass/daemon/router.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from beacongw import (
+from pebblepass.daemon.caches import CacheConnection
+from pebblepass.daemon.clients import Reply
+from pebblepass.daemon.origin import OriginConnection
+from pebblepass.daemon.upstream import Exchange, Pool, ValueSource
+from pebblepass.decisions import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -32,15 +36,11 @@
     Subscribe,
     TimerFired,
 )
-from beacongw.interface import NS_PER_S
-from holdpick import http, resp
-from holdpick.caches import CacheConnection
-from holdpick.clients import Reply
-from holdpick.config import Address
-from holdpick.discovery import Listing
-from holdpick.origin import OriginConnection
-from holdpick.resp import Command
-from holdpick.upstream import Exchange, Pool, ValueSource
+from pebblepass.decisions.interface import NS_PER_S
+from pebblepass.membership.registry import Listing
+from pebblepass.wire import http, resp
+from pebblepass.wire.address import Address
+from pebblepass.wire.resp import Command
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
@@ -48,7 +48,7 @@
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("pebblepass")
 
 
 class OpenRequest:
--- a/holdpick/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -9,15 +9,15 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol, cast
 
-from beacongw import CacheNote, Outcome
-from holdpick.config import Address
+from pebblepass.decisions import CacheNote, Outcome
+from pebblepass.wire.address import Address
 
 PER_SERVER = 16
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("pebblepass")
 
 
 class ValueSource(Protocol):
--- a/beacongw/__init__.py
+++ b/pebblepass/decisions/__init__.py
@@ -1,6 +1,6 @@
-"""beacongw: the decisions of a proxy that spreads keys over cache servers in front of one slow origin."""
+"""pebblepass: the decisions of a proxy that spreads keys over cache servers in front of one slow origin."""
 
-from beacongw.interface import (
+from pebblepass.decisions.interface import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -27,7 +27,7 @@
     Tenant,
     TimerFired,
 )
-from beacongw.logic import Router
+from pebblepass.decisions.logic import Router
 
 __all__ = [
     "Action",
--- a/beacongw/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -1,4 +1,4 @@
-"""The public interface of beacongw: settings, events and actions. No decisions are made here.
+"""The public interface of the decisions: settings, events and actions. No decisions are made here.
 
 All times are whole nanoseconds on the caller's own monotonic clock.
 """
--- a/beacongw/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of beacongw, without I/O; the settings, events and actions are in interface.py.
+"""Every decision of pebblepass, without I/O; the settings, events and actions are in interface.py.
 
 Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
 a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
@@ -16,8 +16,8 @@
 from operator import itemgetter
 from zlib import crc32
 
-from beacongw import interface as api
-from beacongw.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from pebblepass.decisions import interface as api
+from pebblepass.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 
 SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
 DEPTH = 8
--- a/beacongw/settings.py
+++ b/pebblepass/decisions/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from beacongw import interface as api
+from pebblepass.decisions import interface as api
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 _SIZED_WEIGHTS = ("nominal", "rough")
--- /dev/null
+++ b/pebblepass/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where nodes come from: the platform's registry."""
--- a/holdpick/discovery.py
+++ b/pebblepass/membership/registry.py
@@ -11,9 +11,9 @@
 
 import orjson
 
-from beacongw import ListKind, Server, ServersChanged, ServerState
-from holdpick.config import Address, parse_address
-from holdpick.http import HttpError, HttpReader, request
+from pebblepass.decisions import ListKind, Server, ServersChanged, ServerState
+from pebblepass.wire.address import Address, parse_address
+from pebblepass.wire.http import HttpError, HttpReader, request
 
 MAX_BODY = 8 << 20
 LIST_PATH = "/registry/instances"
@@ -25,7 +25,7 @@
 
 _STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("pebblepass")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_clients.py
+++ b/tests/daemon/test_clients.py
@@ -6,8 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from holdpick.clients import COMMAND_S, IDLE_S, SWEEP_S, ClientServer, Reply
-from holdpick.resp import Command
+from pebblepass.daemon.clients import COMMAND_S, IDLE_S, SWEEP_S, ClientServer, Reply
+from pebblepass.wire.resp import Command
 from tests.sockets import PATIENCE_S, bulk, get, put
 
 MEMORY = 8 << 20
--- a/tests/test_router.py
+++ b/tests/daemon/test_router.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beacongw import (
+from pebblepass.decisions import (
     ClientGone,
     Fail,
     ListKind,
@@ -23,8 +23,20 @@
     Tenant,
     TimerFired,
 )
-from beacongw.logic import CUT
-from tests.helpers import MS, ORIGIN, S, ended, finals, fleet, only_send, request, sends, settings, started
+from pebblepass.decisions.logic import CUT
+from tests.decisions.cases import (
+    MS,
+    ORIGIN,
+    S,
+    ended,
+    finals,
+    fleet,
+    only_send,
+    request,
+    sends,
+    settings,
+    started,
+)
 
 
 def test_read_hits_and_nothing_more_is_sent() -> None:
--- a/tests/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from beacongw import CacheNote, Outcome
-from holdpick import http, resp
-from holdpick.caches import CacheConnection
-from holdpick.config import Address
-from holdpick.origin import OriginConnection
-from holdpick.upstream import PER_SERVER, Exchange, Pool
+from pebblepass.daemon.caches import CacheConnection
+from pebblepass.daemon.origin import OriginConnection
+from pebblepass.daemon.upstream import PER_SERVER, Exchange, Pool
+from pebblepass.decisions import CacheNote, Outcome
+from pebblepass.wire import http, resp
+from pebblepass.wire.address import Address
 from tests.sockets import MISS, PATIENCE_S, free_port, hit, http_answer
 
 Answer = Callable[[bytes], bytes]
--- a/tests/helpers.py
+++ b/tests/decisions/cases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beacongw import (
+from pebblepass.decisions import (
     Action,
     AttemptEnded,
     Effect,
--- a/tests/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
-from beacongw import (
+from pebblepass.decisions import (
     Action,
     AttemptEnded,
     ClientGone,
@@ -30,7 +30,7 @@
     Settings,
     TimerFired,
 )
-from tests.helpers import MS, ORIGIN, S, settings
+from tests.decisions.cases import MS, ORIGIN, S, settings
 
 CLASSES = {cls.name: cls for cls in settings().classes}
 FAILURES = [o for o in Outcome if o not in (Outcome.OK, Outcome.CANCELLED)]
--- a/tests/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -5,9 +5,9 @@
 import itertools
 from dataclasses import replace
 
-from beacongw.interface import Server
-from beacongw.logic import DEPTH, SLOTS, SlotTable
-from tests.helpers import S, fleet, settings
+from pebblepass.decisions.interface import Server
+from pebblepass.decisions.logic import DEPTH, SLOTS, SlotTable
+from tests.decisions.cases import S, fleet, settings
 
 COLD = {"cold_share": 0.25, "cold_time": 10 * S}
 
--- a/tests/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from beacongw.interface import Tenant
-from beacongw.logic import CUT, RISE_S, Suppressor
-from tests.helpers import MS, S
+from pebblepass.decisions.interface import Tenant
+from pebblepass.decisions.logic import CUT, RISE_S, Suppressor
+from tests.decisions.cases import MS, S
 
 
 class Fixed(random.Random):
