Hand the clock in, and make a running router one class with start and stop

Need: the daemon read time.monotonic_ns() wherever it needed the time and its parts were put together inside one function, so that neither a virtual clock nor several routers in one process were possible.

Change: the daemon, its log and the registry's watch take the time from the loop that runs them; DaemonLoop is uvloop with time() read from the system at each call, since uvloop's own is whole milliseconds of the current turn. pebblepass.daemon.daemon.Daemon starts, reloads, drains and stops one router; a pool that was closed sends nothing any more.

--- a/pebblepass/daemon/config.py
+++ b/pebblepass/daemon/config.py
@@ -11,6 +11,7 @@
 
 from pebblepass.decisions import Settings
 from pebblepass.decisions.settings import WireError, read_settings, typed
+from pebblepass.membership.registry import Clock, read_listing
 from pebblepass.wire.address import Address, parse_address
 
 DEFAULT_MAX_OPEN = 20_000
@@ -78,6 +79,9 @@
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", told.get("limits") or {}, dict)
     known = told.get("known")
+    if known is not None:
+        # Guards the start: a list that can't be read is one plain line, not a fault once the router runs.
+        read_listing(typed("known", known, dict), Clock(0, 0))
     return Config(
         name=environ.get("LB_NAME") or str(told.get("name") or "router"),
         listen=parse_address("listen", environ.get("LB_LISTEN") or told["listen"]),
@@ -91,5 +95,5 @@
         idle_close=_positive("ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS),
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
-        known=typed("known", known, dict) if known is not None else None,
+        known=known,
     )
--- /dev/null
+++ b/pebblepass/daemon/daemon.py
@@ -0,0 +1,114 @@
+"""One running router: its listener, its pool, its watch of the list, and the order of their start and end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Mapping
+
+from pebblepass.daemon.clients import REFUSERS, ClientServer
+from pebblepass.daemon.config import Config, ConfigError, reload_discovery
+from pebblepass.daemon.router import RouterHost
+from pebblepass.daemon.upstream import Pool
+from pebblepass.decisions import ListKind
+from pebblepass.decisions.interface import NS_PER_S
+from pebblepass.membership.registry import Clock, Discovery, Listing, read_listing
+from pebblepass.wire.address import Address
+
+READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+ACCEPT_S = 0.5
+MIDWAY_S = 0.65
+KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
+DRAIN_STEP_S = 0.01
+RELOAD_TRIES, RELOAD_STEP_S = 20, 0.1  # for a file that is still being written
+OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
+CLIENT_SHARE = 0.6
+BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
+
+log = logging.getLogger("pebblepass")
+
+
+class Daemon:
+    """A router on a loop that it need not have for itself; the loop's time is its clock.
+
+    `start` it, `drain` it where what it has taken is to be answered first, and `stop` it.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, config: Config, unix_ns: Callable[[], int] = time.time_ns
+    ) -> None:
+        self._loop, self._config = loop, config
+        descriptors = max(config.sockets - OWN_DESCRIPTORS, 8)
+        for_clients = int(descriptors * CLIENT_SHARE)
+        dial_timeout, idle_close = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
+        self._pool = Pool(loop, descriptors - for_clients, dial_timeout, idle_close)
+        self.host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
+        # Those that are only refused need descriptors too: beyond the share servers would miss them.
+        served = max(for_clients - REFUSERS, for_clients // 2)
+        self.clients = ClientServer(loop, self.host, served, int(config.memory * BUDGET_SHARE))
+        clock = Clock(self.host.now(), unix_ns())
+        self._discovery = Discovery(
+            config.discovery, config.settings.must_subscribe, clock, self._take, self.host.discovery_failed
+        )
+        self.host.subscribe = self._discovery.subscribe
+        if config.known is not None:
+            known = read_listing(config.known, clock, ListKind.CACHED)
+            self._discovery.generation = known.generation
+            self.host.servers_changed(known)
+        self._reloading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen for clients and follow the list; raises OSError where the address can't be had."""
+        await self.clients.listen(self._config.listen)
+        if not self._config.settings.must_subscribe:
+            self._discovery.start()
+        if self._config.known is not None:
+            self._loop.call_later(READY_S, self._make_do)
+
+    def _take(self, listing: Listing) -> None:
+        self.host.servers_changed(listing)
+        self.host.ready = True
+
+    def _make_do(self) -> None:
+        self.host.ready = True
+
+    def move_discovery(self, address: Address) -> None:
+        """Follow the list at another address; the list held stays until that one has spoken."""
+        self._discovery.move(address)
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Take discovery's address from the file anew, soon."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        self._reloading = self._loop.create_task(self._reload(environ))
+
+    async def _reload(self, environ: Mapping[str, str]) -> None:
+        """A file that can't be used changes nothing."""
+        for tries_left in reversed(range(RELOAD_TRIES)):
+            try:
+                self.move_discovery(reload_discovery(environ))
+                return
+            except ConfigError as error:
+                if not tries_left:
+                    log.error("the configuration stays as it was: %s", error)
+            await asyncio.sleep(RELOAD_STEP_S)
+
+    async def drain(self) -> None:
+        """Take what still comes for a moment, then nothing new, and answer what was taken."""
+        begun = self._loop.time()
+        longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
+        await asyncio.sleep(ACCEPT_S)
+        self.clients.stop_accepting()
+        while self.clients.connected and self._loop.time() < begun + longest + KILL_SLACK_S:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if self._loop.time() >= begun + MIDWAY_S:
+                self.clients.finish(even_midway=True)
+
+    def stop(self) -> None:
+        """Break every connection, as the end of the process would: nothing is sent any more."""
+        if self._reloading is not None:
+            self._reloading.cancel()
+        self._pool.close()
+        self.clients.close()
+        self._discovery.close()
--- a/pebblepass/daemon/log.py
+++ b/pebblepass/daemon/log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-import time
+from collections.abc import Callable
 
 LINES_A_SECOND = 5
 
@@ -11,12 +11,13 @@
 class _Limit(logging.Filter):
     """Lets a few lines through each second and counts the rest."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float]) -> None:
         super().__init__()
+        self._now = now
         self._second, self._lines, self._dropped = 0, 0, 0
 
     def filter(self, record: logging.LogRecord) -> bool:
-        second = int(time.monotonic())
+        second = int(self._now())
         if second != self._second:
             if self._dropped:
                 record.msg = f"({self._dropped} lines left out) {record.msg}"
@@ -27,11 +28,11 @@
         return kept
 
 
-def make_logger(name: str) -> logging.Logger:
-    """The router's logger."""
+def make_logger(name: str, now: Callable[[], float]) -> logging.Logger:
+    """The router's logger; `now` gives the time in seconds by which its lines are limited."""
     handler = logging.StreamHandler()
     handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
-    handler.addFilter(_Limit())
+    handler.addFilter(_Limit(now))
     logger = logging.getLogger("pebblepass")
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
--- /dev/null
+++ b/pebblepass/daemon/loop.py
@@ -0,0 +1,19 @@
+"""The daemon's event loop, and with it its clock."""
+
+from __future__ import annotations
+
+import time
+
+import uvloop
+
+
+class DaemonLoop(uvloop.Loop):
+    """uvloop with `time()` read from the system's clock at each call.
+
+    uvloop's own time is that of the current turn in whole milliseconds: too coarse for answers that take
+    one or two, and as old as the turn is long.
+    """
+
+    def time(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from urllib.parse import quote
@@ -68,7 +67,7 @@
     def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
-        self._sent_at = time.monotonic_ns()
+        self._sent_at = host.now()
         self._latency = 0  # until a long value's first bytes
         self._source: ValueSource | None = None
         self._came_at = 0.0
@@ -91,13 +90,13 @@
             headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
             target = "/" + quote(command.key, safe=KEY_SAFE)
             return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
-        left = max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
+        left = max((self._request.deadline - self._host.now()) // NS_PER_MS, 1)
         words = [command.name, command.key, command.id, command.info_with(left)]
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value's header."""
-        self._latency = time.monotonic_ns() - self._sent_at
+        self._latency = self._host.now() - self._sent_at
         request = self._request
         if request.closed:
             return  # nobody reads it: the attempt's time runs on
@@ -160,7 +159,7 @@
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.send(resp.bulk(value))
-        latency = self._latency or time.monotonic_ns() - self._sent_at
+        latency = self._latency or self._host.now() - self._sent_at
         load, stale = self._host.load(report), self.stale and outcome is Outcome.RESET
         event = AttemptEnded(
             request.id, self._number, self._server, outcome, request.closed, latency, note, load, stale
@@ -176,7 +175,7 @@
 
     def __init__(self, host: RouterHost, server: str, to_origin: bool, timeout: int) -> None:
         self._host, self._server, self._to_origin = host, server, to_origin
-        self._sent_at = time.monotonic_ns()
+        self._sent_at = host.now()
         self._timer = host.call_at(self._sent_at + timeout, self._timed_out)
 
     def _timed_out(self) -> None:
@@ -199,7 +198,7 @@
     ) -> None:
         """Tell the module."""
         self._timer.cancel()
-        latency = time.monotonic_ns() - self._sent_at
+        latency = self._host.now() - self._sent_at
         load = self._host.load(report or value)
         self._host.tell(ProbeEnded(self._server, outcome, latency, load))
 
@@ -228,9 +227,13 @@
         """Requests that have no final answer yet, or one that is still being passed on."""
         return sum(1 for request in self._requests.values() if not request.closed or request.streaming)
 
+    def now(self) -> int:
+        """The loop's time in nanoseconds."""
+        return int(self.loop.time() * NS_PER_S)
+
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
-        return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
+        return self.loop.call_later(max(due - self.now(), 0) / NS_PER_S + TIMER_STEP_S, callback)
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
         """Read a load report."""
@@ -250,7 +253,7 @@
         elif len(self._requests) >= self._max_open:
             reply.send(b"-BUSY\r\n")
         else:
-            deadline = time.monotonic_ns() + command.timeout_ms * NS_PER_MS
+            deadline = self.now() + command.timeout_ms * NS_PER_MS
             request = OpenRequest(request_id, command, reply, deadline)
             reply.request = request
             self._requests[request_id] = request
@@ -338,7 +341,7 @@
             while self._events:
                 event = self._events.popleft()
                 try:
-                    for action in self._router.handle(event, time.monotonic_ns()):
+                    for action in self._router.handle(event, self.now()):
                         self._carry_out(action)
                 except Exception:
                     log.exception("handling %s failed", type(event).__name__)
@@ -358,7 +361,7 @@
             case Send():
                 self._send(action)
             case SetTimer():
-                self._set_timer(time.monotonic_ns() + action.delay, action.token)
+                self._set_timer(self.now() + action.delay, action.token)
             case Refuse():
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
                 self._answer(action.request, b"-BUSY%b\r\n" % wait)
@@ -377,7 +380,7 @@
         if request is None:
             log.error("the module sent a request that is over")
             return
-        now = time.monotonic_ns()
+        now = self.now()
         attempt = Attempt(self, request, action.server, action.server in self._origins)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
@@ -389,7 +392,7 @@
     def _set_timer(self, due: int, token: str) -> None:
         def fire() -> None:
             # Danger: a timer that comes early tells the module nothing, and the request waits for ever.
-            if time.monotonic_ns() < due:
+            if self.now() < due:
                 self._set_timer(due, token)
             else:
                 self.tell(TimerFired(token))
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -211,6 +211,7 @@
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
         self._held = 0
+        self._closed = False
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
     def list_server(self, server_id: str, address: Address, connect: Callable[[Server], Connection]) -> None:
@@ -239,7 +240,7 @@
     def submit(self, server_id: str, exchange: Exchange) -> None:
         """Send on an idle connection, or wait for one."""
         server = self._servers.get(server_id)
-        if server is None or not server.open:
+        if server is None or not server.open or self._closed:
             exchange.end(Outcome.CONNECT_FAILED)
             return
         oldest = self._loop.time() - self._idle_limit
@@ -279,7 +280,8 @@
         self._forget(server)
 
     def close(self) -> None:
-        """Break all connections."""
+        """Break all connections; nothing is sent from here on, whatever the ends of attempts lead to."""
+        self._closed = True
         self._sweep_timer.cancel()
         for server in list(self._servers.values()):
             for dial in server.dials:
@@ -290,6 +292,8 @@
     def _dial_for(self, server: Server) -> None:
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
+        if self._closed:
+            return
         while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
             if self._held >= self._limit and not self._evict():
                 return
--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -40,8 +39,9 @@
 class Clock:
     """Turns Unix times into times of the monotonic clock, always by the same difference."""
 
-    def __init__(self) -> None:
-        self._behind = time.time_ns() - time.monotonic_ns()
+    def __init__(self, monotonic_ns: int, unix_ns: int) -> None:
+        """Both times were taken at one moment."""
+        self._behind = unix_ns - monotonic_ns
 
     def monotonic(self, unix_ms: int) -> int:
         """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
