Check the operator's file whole, and order what a reload and a list change go over

Need: features to come are set in an operator's file, and a rehearsal has to come out the same twice, which a set's order of another process prevents.

Connections, dials and servers that leave the list are gone over in the order in which they came.

--- a/pebblepass/daemon/config.py
+++ b/pebblepass/daemon/config.py
@@ -52,7 +52,7 @@
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        return _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
+        return read_config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
     except KeyError as error:
@@ -74,7 +74,8 @@
     return int(value)
 
 
-def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
+def read_config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """Read what the file holds; raises KeyError, WireError, ValueError or TypeError on what can't be used."""
     facts = typed("settings", told["settings"], dict)
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", told.get("limits") or {}, dict)
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -309,16 +309,16 @@
 
     def _list_servers(self, listing: Listing) -> None:
         whole = listing.change.kind is not ListKind.DELTA
-        gone = set(self._pool.listed()) if whole else set()
+        gone = dict.fromkeys(self._pool.listed()) if whole else {}
         for server in listing.change.servers:
             if server.state is ServerState.READY:
-                gone.discard(server.id)
+                gone.pop(server.id, None)
                 is_origin = server.kind == self.settings.origin_kind
                 (self._origins.add if is_origin else self._origins.discard)(server.id)
                 connect = OriginConnection if is_origin else CacheConnection
                 self._pool.list_server(server.id, listing.addresses[server.id], connect)
             else:
-                gone.add(server.id)
+                gone[server.id] = None
         for server_id in gone:
             self._pool.unlist_server(server_id)
 
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -191,8 +191,9 @@
         self.pool, self.id, self.address, self.connect = pool, server_id, address, connect
         self.open = True
         self.idle: list[Connection] = []  # the one used last at the end: spares grow old and are retired
-        self.connections: set[Connection] = set()
-        self.dials: set[asyncio.Task[None]] = set()
+        # Dictionaries keep the order in which things came: a set's is another one in each process.
+        self.connections: dict[Connection, None] = {}
+        self.dials: dict[asyncio.Task[None], None] = {}
         self.waiting: deque[Exchange] = deque()
 
     @property
@@ -272,7 +273,7 @@
         server = connection.server
         if connection not in server.connections:
             return
-        server.connections.discard(connection)
+        del server.connections[connection]
         self._held -= 1
         if connection in server.idle:
             server.idle.remove(connection)
@@ -284,7 +285,7 @@
         self._closed = True
         self._sweep_timer.cancel()
         for server in list(self._servers.values()):
-            for dial in server.dials:
+            for dial in list(server.dials):
                 dial.cancel()
             for connection in list(server.connections):
                 connection.close()
@@ -299,7 +300,7 @@
                 return
             self._held += 1
             dial = self._loop.create_task(self._dial(server))
-            server.dials.add(dial)
+            server.dials[dial] = None
 
     def _evict(self) -> bool:
         idle = [server.idle[0] for server in self._servers.values() if server.idle]
@@ -308,7 +309,7 @@
         oldest = min(idle, key=lambda connection: connection.idle_since)
         server = oldest.server
         server.idle.remove(oldest)
-        server.connections.discard(oldest)
+        del server.connections[oldest]
         self._held -= 1
         oldest.close()
         return True
@@ -330,7 +331,7 @@
         except (OSError, ValueError):
             pass  # a listed name that can't be one of a host raises UnicodeError: nobody is there either
         finally:
-            server.dials.discard(task)
+            server.dials.pop(task, None)
             if connection is None:
                 connecting.cancel()
                 self._held -= 1
@@ -339,7 +340,7 @@
                 self._held -= 1
             self._dial_failed(server)
             return
-        server.connections.add(connection)
+        server.connections[connection] = None
         connection.retired = not server.open or server.address != address
         self.released(connection)
 
--- /dev/null
+++ b/pebblepass/operator/__init__.py
@@ -0,0 +1,17 @@
+"""The operator's own file: one checked schema, a section for each subsystem.
+
+`run` loads this only where `PEBBLEPASS_OPERATOR` names a file; without one every subsystem is off.
+"""
+
+from pebblepass.operator.checked import FileError, decode_toml, describe, read_toml
+from pebblepass.operator.schema import LogSection, Operator, load_operator
+
+__all__ = [
+    "FileError",
+    "LogSection",
+    "Operator",
+    "decode_toml",
+    "describe",
+    "load_operator",
+    "read_toml",
+]
--- /dev/null
+++ b/pebblepass/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted peers on loopback: mirror nodes, the package store, the registry and clients."""
