Rehearse on a virtual clock: stand-ins, clients, the four rules and the count

Need: nothing could show or break a fleet the same way twice; on-call staff met the morning of a popular release only when it came.

Change: pebblepass.standins holds mirror nodes of one modelled core, the store, the registry's agents and clients; pebblepass.rehearsal draws a plan from a scenario and a seed, plays it against the daemon's own code on loopback sockets in virtual time, checks the four rules on its own count and reports service as the users count it.

--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -335,6 +335,10 @@
         """Return the virtual Unix time in nanoseconds."""
         return UNIX_START_NS + int((self._now - START_S) * 1e9)
 
+    def set_silent(self, address: Address, on: bool) -> None:
+        """Cut a machine off: connections to this address never come up until it is back."""
+        (self.network.silent.add if on else self.network.silent.discard)(address)
+
     def _move(self, seconds: float) -> None:
         self._now += seconds
 
--- /dev/null
+++ b/pebblepass/rehearsal/front.py
@@ -0,0 +1,211 @@
+"""The clients' side: the front that deals them out to routers, their tries, and what each came to."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pebblepass.rehearsal.count import Count
+from pebblepass.rehearsal.plan import Ask, Plan
+from pebblepass.rehearsal.referee import ANSWER_GRACE_S, TIME_SLACK_S, Referee
+from pebblepass.standins.clients import Answer, ClientPool, Request
+from pebblepass.wire.address import Address
+
+LISTEN_S = TIME_SLACK_S + ANSWER_GRACE_S + 0.01  # beyond its time a client listens, to see the rule kept
+LEAVE_S = 0.3  # clients that leave do so within this time
+LEAST_S = 0.005  # with less time left a client does not try again
+
+
+class Front:
+    """Deals tries out to routers; of one that has died it knows only some seconds later."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, plan: Plan, count: Count, referee: Referee, slack: float
+    ) -> None:
+        self.loop, self.plan, self.count, self.referee = loop, plan, count, referee
+        self.slack = slack
+        """How much longer clients listen than the rules say, on a clock that others share."""
+        self.classes = {cls.name: cls for cls in plan.scenario.classes}
+        self.pools: list[ClientPool] = []
+        self.killed_at: dict[int, float] = {}
+        """When a router was last ended while it may have held requests."""
+        self.open = 0
+        self.leaving = 0.0
+        """The share of clients that leave before their answer."""
+        self._noticed_down: set[int] = set()
+
+    def add_router(self, place: int, address: Address) -> None:
+        """A router's clients connect here."""
+        pool = ClientPool(self.loop, address)
+        router = self.plan.routers[place].id
+        pool.stray = lambda _: self.referee.stray(router, self.loop.time())
+        self.pools.append(pool)
+
+    def notice(self, place: int, down: bool) -> None:
+        """The front takes note of a router that is down, or back."""
+        (self._noticed_down.add if down else self._noticed_down.discard)(place)
+
+    def pick(self, place: int) -> int:
+        """The router that a client is dealt to: its own, or the next one that is not known to be down."""
+        routers = len(self.pools)
+        for step in range(routers):
+            if (place + step) % routers not in self._noticed_down:
+                return (place + step) % routers
+        return place
+
+    def ask(self, ask: Ask) -> None:
+        """A client begins to ask."""
+        Asking(self, ask).attempt()
+
+    def close(self) -> None:
+        """Close every client's connection."""
+        for pool in self.pools:
+            pool.close()
+
+
+class Asking:
+    """One client's ask, over its tries."""
+
+    def __init__(self, front: Front, ask: Ask) -> None:
+        self.front, self.ask = front, ask
+        self.cls = front.classes[ask.request_class]
+        self.begun = front.loop.time()
+        self.deadline = self.begun + self.cls.deadline_ms / 1000
+        self.tries = 0
+        self.over = False
+
+    def attempt(self) -> None:
+        """Try once, in a part of the time that is left."""
+        front, now = self.front, self.front.loop.time()
+        share = self.ask.try_shares[self.tries]
+        patience = min(share * self.cls.deadline_ms / 1000, self.deadline - now)
+        if patience < LEAST_S:
+            self.over = True
+            return
+        self.tries += 1
+        Try(self, front.pick(self.ask.router), patience)
+
+    def came_to_nothing(self, harmless: bool, back_ms: int = 0) -> None:
+        """A try was given up, refused or failed: try again, where that is allowed."""
+        if self.over:
+            return
+        now = self.front.loop.time()
+        window = self.begun + self.cls.window_s
+        may = harmless or self.cls.effect == "safe" or (self.cls.effect == "keyed" and now < window)
+        if not may or self.tries >= len(self.ask.try_shares):
+            self.over = True
+            return
+        wait = max(self.ask.backoffs[self.tries - 1] * 2 ** (self.tries - 1), back_ms / 1000)
+        self.front.loop.call_later(wait, self.attempt)
+
+    def served(self) -> None:
+        """A try was served."""
+        if not self.over:
+            self.over = True
+            self.front.count.served_after[self.ask.number] = self.front.loop.time() - self.begun
+
+
+class Try:
+    """One request of a client's, under an id of its own."""
+
+    def __init__(self, asking: Asking, place: int, patience: float) -> None:
+        self._asking, self._place = asking, place
+        front, ask = asking.front, asking.ask
+        self._front = front
+        self._router = front.plan.routers[place].id
+        self._id = f"{ask.number:010x}{asking.tries:06x}"
+        self._begun = front.loop.time()
+        self._patience = patience
+        self._given_up = self._was_taken = False
+        front.open += 1
+        front.count.tried(ask, self._router)
+        self._timers = [
+            front.loop.call_later(patience, self._give_up),
+            front.loop.call_later(patience + LISTEN_S + front.slack, self._stop_listening),
+        ]
+        if ask.leaves < front.leaving:
+            after = ask.leaves / front.leaving * LEAVE_S
+            self._timers.append(front.loop.call_later(after, self._leave))
+        self._send()
+
+    def _send(self) -> None:
+        ask, cls = self._asking.ask, self._asking.cls
+        left = max(1, int((self._begun + self._patience - self._front.loop.time()) * 1000))
+        info = f"c={cls.name},t={ask.namespace},d={left}"
+        words = [b"KV.SET" if cls.write else b"KV.GET", ask.key.encode(), self._id.encode()]
+        if cls.effect == "keyed":
+            info += f",k={ask.number:016x}"
+        words.append(info.encode())
+        if cls.write:
+            words.append(b"of %b" % ask.key.encode())
+        proof = f"{ask.key} {self._id} ".encode()
+        self._request = Request(tuple(words), proof, self._taken, self._answered)
+        self._front.pools[self._place].ask(self._request)
+
+    def _taken(self) -> None:
+        self._was_taken = True
+        self._front.referee.taken(self._id, self._router, self._begun + self._patience)
+
+    def _end(self, outcome: str) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        self._front.open -= 1
+        self._front.count.ended(self._asking.ask, self._router, outcome)
+
+    def _give_up(self) -> None:
+        """The client's patience is over: it goes on with its next try, and only listens for this one."""
+        self._given_up = True
+        self._asking.came_to_nothing(harmless=False)
+
+    def _stop_listening(self) -> None:
+        self._request.leave()
+        if self._was_taken:
+            self._lost("no answer in its time")
+        else:
+            self._end("unreached")
+
+    def _leave(self) -> None:
+        self._request.leave()
+        if self._was_taken:
+            self._front.referee.left(self._id, self._front.loop.time())
+        self._asking.over = True
+        self._end("gone")
+
+    def _lost(self, how: str) -> None:
+        """Nothing final has come: the router's fault, unless it was ended while it held the request."""
+        now = self._front.loop.time()
+        if self._front.killed_at.get(self._place, -1.0) >= self._begun:
+            self._front.referee.left(self._id, now)
+            self._end("killed")
+        else:
+            self._front.referee.lost(self._id, now, how)
+            self._end("lost")
+
+    def _answered(self, answer: Answer, back_ms: int) -> None:
+        referee, now = self._front.referee, self._front.loop.time()
+        if answer is Answer.UNREACHED:
+            self._end("unreached")
+        elif answer is Answer.CLOSED and not referee.was_sent(self._id) and not self._request.fresh:
+            # PROTOCOL: a close that crosses a request on a kept connection; it goes out once more.
+            self._send()
+            return
+        elif self._may_close(answer):
+            referee.answered(self._id, now)
+            self._end("failed")
+        elif answer in (Answer.CLOSED, Answer.CUT):
+            self._lost("the connection was closed without its answer")
+        elif answer is Answer.WRONG:
+            self._lost("served with a value that was not made for it")
+        else:
+            referee.answered(self._id, now)
+            self._end(answer.value)
+            if answer is Answer.SERVED and not self._given_up:
+                self._asking.served()
+                return
+        if not self._given_up:
+            self._asking.came_to_nothing(answer in (Answer.REFUSED, Answer.UNREACHED), back_ms)
+
+    def _may_close(self, answer: Answer) -> bool:
+        """Whether a close is a failure and no loss: nothing was sent on for it, or a server cut the value."""
+        if answer is Answer.CLOSED:
+            return not self._front.referee.was_sent(self._id)
+        return answer is Answer.CUT and self._front.referee.was_spoilt(self._id)
--- a/pebblepass/rehearsal/plan.py
+++ b/pebblepass/rehearsal/plan.py
@@ -11,7 +11,7 @@
 from bisect import bisect_left
 from dataclasses import dataclass
 from itertools import accumulate
-from math import fsum, pi, sin
+from math import exp, fsum, pi, sin
 
 from pebblepass.rehearsal.scenario import Fault, Range, RequestClass, Scenario, Trouble
 
@@ -214,16 +214,34 @@
         self._names = [f"pkg/p{i}/{rng.randrange(10)}.{rng.randrange(20)}" for i in range(traffic.keys)]
         weights = [1 / (i + 1) ** traffic.skew for i in range(traffic.keys)]
         self._sums = list(accumulate(weights))
-        wanted = _draw(rng, traffic.pooled_hits)
-        held = bisect_left(self._sums, self._sums[-1] * wanted) + 1
+        self.hits = _draw(rng, traffic.pooled_hits)
+        held = _lru_size([weight / self._sums[-1] for weight in weights], self.hits)
         self.pooled = tuple(self._names[:held])
-        self.hits = self._sums[min(held, traffic.keys) - 1] / self._sums[-1]
 
     def draw(self, rng: random.Random) -> str:
         place = bisect_left(self._sums, rng.random() * self._sums[-1])
         return self._names[min(place, len(self._names) - 1)]
 
 
+def _lru_size(popularity: list[float], hits: float) -> int:
+    """How many copies one cache that drops the least recently used needs for this share of hits.
+
+    Che's approximation (Che, Tung, Wang: Hierarchical Web Caching Systems, 2002): a copy stays for one time
+    that is the same for all keys.
+    """
+    low, high = 0.0, 1.0
+    while _lru_hits(popularity, high) < hits:
+        low, high = high, high * 2
+    for _ in range(20):
+        middle = (low + high) / 2
+        low, high = (middle, high) if _lru_hits(popularity, middle) < hits else (low, middle)
+    return min(len(popularity), round(fsum(1 - exp(-share * high) for share in popularity)) + 1)
+
+
+def _lru_hits(popularity: list[float], stay: float) -> float:
+    return fsum(share * (1 - exp(-share * stay)) for share in popularity)
+
+
 def _asks(scenario: Scenario, streams: Streams, keys: _Keys, routers: tuple[RouterFacts, ...]) -> list[Ask]:
     traffic = scenario.traffic
     rng, troubles = streams.of("clients"), _shares(scenario, streams)
--- /dev/null
+++ b/pebblepass/rehearsal/report.py
@@ -0,0 +1,137 @@
+"""The report of a rehearsal: one object of plain figures, the same for the same run, to the byte."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from pebblepass.rehearsal.count import OUTCOMES, Count
+from pebblepass.rehearsal.plan import Plan
+from pebblepass.rehearsal.referee import Referee, Rule
+from pebblepass.rehearsal.world import World
+
+DIGITS = 6
+MOST_BREACHES = 20  # that are told with their words; all are counted
+
+
+class Series:
+    """Figures second by second, for the plots."""
+
+    def __init__(self, nodes: list[str]) -> None:
+        self.seconds: list[float] = []
+        self.open: list[int] = []
+        self.fetches: list[int] = []
+        """Reads that the store served in the second."""
+        self.load: dict[str, list[float]] = {name: [] for name in nodes}
+        """The share of the second in which each node had something to do."""
+        self._fetched = 0
+        self._busy: dict[str, float] = {}
+
+    def take(self, second: float, open_requests: int, fetched: int, busy: dict[str, float]) -> None:
+        """Take the running totals at the end of a second."""
+        self.seconds.append(second)
+        self.open.append(open_requests)
+        self.fetches.append(fetched - self._fetched)
+        self._fetched = fetched
+        for name in busy:
+            self.load.setdefault(name, [0.0] * (len(self.seconds) - 1))
+        for name, row in self.load.items():
+            now = busy.get(name, 0.0)
+            before = self._busy.get(name, 0.0)
+            row.append(min(1.0, now - before) if now >= before else 0.0)
+        self._busy = busy
+
+
+def build_report(
+    plan: Plan,
+    count: Count,
+    referee: Referee,
+    series: Series,
+    world: World,
+    clock: str,
+    events: list[tuple[float, str]],
+    crashes: list[str],
+    interrupted: bool,
+) -> dict[str, Any]:
+    """Put the report together."""
+    fleet = plan.scenario.fleet
+    begun = series.seconds[0] if series.seconds else 0.0
+    breaches = {rule.value: [breach for breach in referee.breaches if breach.rule is rule] for rule in Rule}
+    report = {
+        "scenario": plan.scenario.title,
+        "seed": plan.seed,
+        "clock": clock,
+        "plan": plan.digest(),
+        "trace": referee.trace.hexdigest()[:16] if clock == "virtual" else None,
+        "interrupted": interrupted,
+        "scale": {
+            "routers": fleet.routers,
+            "nodes": fleet.nodes,
+            "rate": plan.scenario.traffic.rate,
+            "length_s": plan.scenario.length_s,
+            "asks": len(plan.asks),
+        },
+        "service": count.service(),
+        "tries": {
+            namespace: {
+                cls: {name: count.tries[namespace, cls][name] for name in ("asked", *OUTCOMES)}
+                for other, cls in count.tries
+                if other == namespace
+            }
+            for namespace, _ in count.tries
+        },
+        "routers": {
+            name: {outcome: tally[outcome] for outcome in ("asked", *OUTCOMES)}
+            for name, tally in count.routers.items()
+        },
+        "attempts": dict(sorted(referee.attempts.items())),
+        "store": {"fetches": world.store.fetches, "writes": world.store.writes},
+        "effects": {"applied": world.effects.applied, "repeats_dropped": world.effects.dropped},
+        "rules": {
+            rule: {
+                "held": not found,
+                "breaches": len(found),
+                "first": [f"{breach.what}" for breach in found[:MOST_BREACHES]],
+            }
+            for rule, found in breaches.items()
+        },
+        "balance": [] if interrupted else count.balance(),
+        "crashes": crashes,
+        "fallen": referee.pushed,
+        "events": [[at, what] for at, what in events],
+        "series": {
+            "second": [round(second - begun) for second in series.seconds],
+            "open": series.open,
+            "fetches": series.fetches,
+            "load": series.load,
+        },
+    }
+    rounded: dict[str, Any] = _rounded(report)
+    return rounded
+
+
+def _rounded(value: Any) -> Any:
+    if isinstance(value, float):
+        return round(value, DIGITS)
+    if isinstance(value, dict):
+        return {key: _rounded(held) for key, held in value.items()}
+    if isinstance(value, list | tuple):
+        return [_rounded(held) for held in value]
+    return value
+
+
+def as_json(report: dict[str, Any]) -> bytes:
+    """The report as a file."""
+    return orjson.dumps(report, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS | orjson.OPT_APPEND_NEWLINE)
+
+
+def verdict(report: dict[str, Any]) -> list[str]:
+    """Why the rehearsal has failed, a line each; empty where every rule held and all adds up."""
+    lines = [
+        f"rule broken: {rule} ({told['breaches']}): {told['first'][0]}"
+        for rule, told in report["rules"].items()
+        if not told["held"]
+    ]
+    lines += [f"does not add up: {line}" for line in report["balance"]]
+    return lines + [f"crashed: {line}" for line in report["crashes"]]
--- /dev/null
+++ b/pebblepass/rehearsal/routers.py
@@ -0,0 +1,167 @@
+"""Routers under rehearsal: the daemon's own code, in this process or as the deploy file starts it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import tomllib
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, Protocol
+
+from pebblepass.daemon.config import read_config
+from pebblepass.daemon.daemon import Daemon
+from pebblepass.wire.address import Address
+
+WATCH_S = 0.25
+
+
+class RouterPort(Protocol):
+    """What a rehearsal does with a router."""
+
+    peak_kb: int
+    """The most memory seen; 0 where it has no process of its own."""
+
+    async def start(self, told: dict[str, Any]) -> None:
+        """Start it with this configuration."""
+
+    async def terminate(self) -> None:
+        """End it in good order, as SIGTERM does; returns when it has ended."""
+
+    async def kill(self) -> None:
+        """End it at once."""
+
+    def reload(self, discovery: Address) -> None:
+        """Give it a new configuration that names another address of the registry."""
+
+    def crash(self) -> str:
+        """Why it has ended by itself; empty while it has not."""
+
+
+class InProcessRouter:
+    """The daemon on the rehearsal's own loop."""
+
+    peak_kb = 0
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        unix_ns: Callable[[], int],
+        make: Callable[..., Daemon] = Daemon,
+    ) -> None:
+        self._loop, self._unix_ns, self._make = loop, unix_ns, make
+        self._daemon: Daemon | None = None
+
+    async def start(self, told: dict[str, Any]) -> None:
+        """Start it."""
+        self._daemon = self._make(self._loop, read_config(told, {}), self._unix_ns)
+        await self._daemon.start()
+
+    async def terminate(self) -> None:
+        """Drain it, and stop it."""
+        if self._daemon is not None:
+            await self._daemon.drain()
+            await self.kill()
+
+    async def kill(self) -> None:
+        """Stop it."""
+        if self._daemon is not None:
+            self._daemon.stop()
+            self._daemon = None
+
+    def reload(self, discovery: Address) -> None:
+        """Move its watch, as the reload of a file does."""
+        if self._daemon is not None:
+            self._daemon.move_discovery(discovery)
+
+    def crash(self) -> str:
+        """In this process a fault is an exception that is logged."""
+        return ""
+
+
+class ProcessRouter:
+    """A process started by the deploy file's `run`, held to its limits."""
+
+    def __init__(self, folder: Path, deploy: Path) -> None:
+        """`folder` is this router's own; `deploy` the deploy file."""
+        self._folder, self._root = folder, deploy.resolve().parent.parent
+        self._command = str(tomllib.loads(deploy.read_text())["run"])
+        self._process: subprocess.Popen[bytes] | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._told: dict[str, Any] = {}
+        self._crash = ""
+        self.peak_kb = 0
+
+    async def start(self, told: dict[str, Any]) -> None:
+        """Start the process."""
+        self._told = told
+        self._write()
+        sockets, memory_kb = told["limits"]["sockets"], told["limits"]["memory_mb"] << 10
+        environ = {k: v for k, v in os.environ.items() if not k.startswith(("LB_", "PEBBLEPASS_"))}
+        with (self._folder / "log").open("ab") as log:
+            self._process = subprocess.Popen(
+                ["/bin/sh", "-c", self._command],
+                cwd=self._root,
+                env={**environ, "LB_CONFIG": str(self._config)},
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            )
+        self._watch = asyncio.get_running_loop().create_task(self._hold(self._process, memory_kb))
+
+    @property
+    def _config(self) -> Path:
+        return self._folder / "config.json"
+
+    def _write(self) -> None:
+        fresh = self._folder / "config.json.new"
+        fresh.write_text(json.dumps(self._told))
+        fresh.replace(self._config)
+
+    async def _hold(self, process: subprocess.Popen[bytes], memory_kb: int) -> None:
+        """Watch the process: over its memory it is killed, as on the platform."""
+        while process.poll() is None:
+            with suppress(OSError, IndexError, ValueError):
+                status = Path(f"/proc/{process.pid}/status").read_text()
+                used = int(status.split("VmRSS:")[1].split()[0])
+                self.peak_kb = max(self.peak_kb, used)
+                if used > memory_kb:
+                    self._crash = f"used {used >> 10} MB of {memory_kb >> 10}"
+                    process.kill()
+            await asyncio.sleep(WATCH_S)
+        self._crash = self._crash or f"ended by itself with {process.returncode}"
+
+    async def _end(self, how: signal.Signals) -> None:
+        process, self._process = self._process, None
+        if self._watch is not None:
+            self._watch.cancel()
+        if process is None or process.poll() is not None:
+            return
+        process.send_signal(how)
+        while process.poll() is None:
+            await asyncio.sleep(0.005)
+
+    async def terminate(self) -> None:
+        """SIGTERM, and wait."""
+        await self._end(signal.SIGTERM)
+
+    async def kill(self) -> None:
+        """SIGKILL."""
+        await self._end(signal.SIGKILL)
+
+    def reload(self, discovery: Address) -> None:
+        """Replace its file and send SIGHUP."""
+        self._told = {**self._told, "discovery": f"{discovery[0]}:{discovery[1]}"}
+        self._write()
+        if self._process is not None:
+            self._process.send_signal(signal.SIGHUP)
+
+    def crash(self) -> str:
+        """Why it has ended by itself."""
+        return self._crash
--- a/pebblepass/rehearsal/scenario.py
+++ b/pebblepass/rehearsal/scenario.py
@@ -153,7 +153,7 @@
         120.0
     )
     swing: Annotated[Share, Meta(description="how far the rate swings about its mean")] = 0.25
-    keys: Annotated[int, Meta(ge=10, le=1_000_000, description="packages that are asked for")] = 4000
+    keys: Annotated[int, Meta(ge=10, le=200_000, description="packages that are asked for")] = 4000
     skew: Annotated[float, Meta(ge=0, le=2, description="the exponent of the packages' popularity")] = 0.9
     pooled_hits: Annotated[
         Range, Meta(description="reads that one cache of the fleet's size would serve")
--- /dev/null
+++ b/pebblepass/rehearsal/world.py
@@ -0,0 +1,318 @@
+"""The world of a rehearsal: stand-ins made from a plan, wired to the referee, and what breaks in it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from zlib import crc32
+
+from pebblepass.decisions.interface import NS_PER_S, Settings
+from pebblepass.decisions.interface import Server as ListedServer
+from pebblepass.decisions.logic import SLOTS, SlotTable
+from pebblepass.decisions.settings import read_settings
+from pebblepass.rehearsal.plan import STORE_ID, Happening, NodeFacts, Plan, RouterFacts, Streams
+from pebblepass.rehearsal.referee import Referee
+from pebblepass.standins.core import CoreFacts
+from pebblepass.standins.effects import Effects
+from pebblepass.standins.listening import Silence
+from pebblepass.standins.node import DRAIN_S, MirrorNode, NodeSetup, Works
+from pebblepass.standins.registry import RegistryAgent
+from pebblepass.standins.store import PackageStore, StoreSetup
+
+KIND, STORE_KIND = "std-1c", "origin"
+FALL_MULTIPLE, FALL_S = 4.0, 2.0
+COLD_SHARE, COLD_S = 0.32, 8.9  # what the settings tell of a cold node's worst case
+DIAL_TIMEOUT_S, IDLE_CLOSE_S = 0.12, 10.0
+MAX_OPEN = 5000
+
+_SEMANTICS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+
+
+def settings_facts(plan: Plan, router: RouterFacts) -> dict[str, Any]:
+    """The settings of a router, in the form in which the platform tells them."""
+    scenario = plan.scenario
+    rate = scenario.traffic.rate
+    return {
+        "balancers": len(plan.routers),
+        "ceilings": {
+            "cancel": True,
+            "dialTimeoutNs": int(DIAL_TIMEOUT_S * NS_PER_S),
+            "idleCloseNs": int(IDLE_CLOSE_S * NS_PER_S),
+            "maxOpen": MAX_OPEN,
+            "maxRetryAfterNs": 1_200_000_000,
+            "mayProbe": True,
+            "mostTries": 4,
+            "retryAfter": False,
+            "secondCopies": True,
+        },
+        "classes": [
+            {
+                "name": cls.name,
+                "aimNs": int(cls.aim_ms * 1e6),
+                "giveUpNs": int(cls.deadline_ms * 1e6),
+                "semantics": _SEMANTICS[cls.effect],
+                "group": "all",
+                "dedupWindowNs": int(cls.window_s * NS_PER_S),
+                "lateValue": cls.late_worth,
+                "worth": cls.worth,
+            }
+            for cls in scenario.classes
+        ],
+        "familyInfo": {"mode": "aside", "originKind": 1},
+        "feedback": {"fields": ["latency_ms", "queue"], "how": "answers"},
+        "kinds": [KIND, STORE_KIND],
+        "membershipMode": "automatic",
+        "rules": {
+            "coldNs": int(COLD_S * NS_PER_S),
+            "coldShare": COLD_SHARE,
+            "drainGraceNs": 500_000_000,
+            "fallMultiple": FALL_MULTIPLE,
+            "fallNs": int(FALL_S * NS_PER_S),
+        },
+        "tenants": [
+            {"name": n.name, "portion": n.share, "quotaPerS": rate * n.share * n.quota}
+            for n in scenario.namespaces
+        ],
+        "zone": router.zone,
+        "failureDomains": list(scenario.fleet.zones),
+    }
+
+
+class World:
+    """Nodes, store and registry agents, and the happenings that touch them."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        plan: Plan,
+        referee: Referee,
+        unix_ns: Callable[[], int],
+        silence: Silence,
+    ) -> None:
+        self.loop, self.plan, self.referee = loop, plan, referee
+        self._unix_ns, self._silence = unix_ns, silence
+        scenario = plan.scenario
+        streams = Streams(plan.seed)
+        self.effects = Effects({cls.name: cls.window_s for cls in scenario.classes}, referee.effect_doubled)
+        self._missed_at: dict[str, list[MirrorNode]] = {}
+        self.nodes = {facts.id: self._node(facts, streams) for facts in plan.nodes}
+        self._spares = [self._node(facts, streams) for facts in plan.spares]
+        store_zone = scenario.fleet.zones[0]
+        self.store = PackageStore(
+            loop,
+            StoreSetup(
+                id=STORE_ID,
+                core=CoreFacts(1.0, plan.store.slots, plan.store.queue, shared=False),
+                work=plan.store.work,
+                error_rate=plan.store.error_rate,
+                value_bytes=scenario.traffic.value_bytes,
+                delays={zone: plan.delays[zone, store_zone] for zone in scenario.fleet.zones},
+            ),
+            streams.of("store answers"),
+            self.effects,
+            referee,
+            self._fetched,
+            self._written,
+            silence,
+        )
+        self.agents: dict[str, RegistryAgent] = {}
+        self._told_rng = streams.of("registry")
+        self._zones = {facts.id: facts.zone for facts in (*plan.nodes, *plan.spares)}
+        self._started_ms: dict[str, int] = {}
+
+    def _node(self, facts: NodeFacts, streams: Streams) -> MirrorNode:
+        scenario = self.plan.scenario
+        return MirrorNode(
+            self.loop,
+            NodeSetup(
+                id=facts.id,
+                core=CoreFacts(
+                    speed=facts.speed,
+                    slots=facts.slots,
+                    queue=facts.queue,
+                    thrash_at=facts.thrash_at,
+                    thrash=facts.thrash,
+                    pause_every=facts.pause_every,
+                    pause=facts.pause,
+                    cold_share=facts.cold_share,
+                    cold_time=facts.cold_time,
+                ),
+                memory=facts.memory,
+                report_period=facts.report_period,
+                works={
+                    cls.name: Works(cls.work_ms.least / 1000, cls.work_ms.most / 1000)
+                    for cls in scenario.classes
+                },
+                miss_work=scenario.node.miss_work,
+                error_rate=scenario.node.error_rate,
+                value_bytes=scenario.traffic.value_bytes,
+                delays={zone: self.plan.delays[zone, facts.zone] for zone in scenario.fleet.zones},
+                fall_multiple=FALL_MULTIPLE,
+                fall_window=FALL_S,
+            ),
+            streams.of(f"node {facts.id} answers"),
+            self.effects,
+            self.referee,
+            self._missed,
+            self._silence,
+        )
+
+    async def start(self) -> None:
+        """Start everything, with the copies that the fleet would hold on a calm day."""
+        for node in self.nodes.values():
+            await node.start()
+        await self.store.start()
+        for router in self.plan.routers:
+            entries = [self._entry(name, router.zone, "up") for name in self.nodes]
+            agent = RegistryAgent(
+                self.loop, router.id, [*entries, self._store_entry(router.zone)], self.referee
+            )
+            await agent.start()
+            self.agents[router.id] = agent
+        self._fill()
+
+    def _fill(self) -> None:
+        """Keep the popular keys where a router's slot table places them, the most popular used last."""
+        settings: Settings = read_settings(settings_facts(self.plan, self.plan.routers[0]))
+        table = SlotTable(settings)
+        table.update([ListedServer(name, kind=KIND) for name in self.nodes], [])
+        for key in reversed(self.plan.popular):
+            holder = table.rank(crc32(key.encode()) % SLOTS, 0)[0]
+            self.nodes[holder.entry.id].keep(key)
+
+    def _entry(self, name: str, zone: str, lifecycle: str) -> dict[str, Any]:
+        host, port = self.nodes[name].station.address(zone)
+        return {
+            "instanceId": name,
+            "hostPort": f"{host}:{port}",
+            "zone": self._zones[name],
+            "machineType": KIND,
+            "cell": 0,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": self._started_ms.get(name, 0),
+        }
+
+    def _store_entry(self, zone: str) -> dict[str, Any]:
+        host, port = self.store.station.address(zone)
+        return {
+            "instanceId": STORE_ID,
+            "hostPort": f"{host}:{port}",
+            "zone": self.plan.scenario.fleet.zones[0],
+            "machineType": STORE_KIND,
+            "cell": 0,
+            "lifecycle": "up",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+
+    # Copies
+
+    def _missed(self, request: str, node: MirrorNode) -> None:
+        self._missed_at.setdefault(request, []).append(node)
+
+    def _fetched(self, request: str, key: str) -> None:
+        for node in self._missed_at.pop(request, ()):
+            node.keep(key)
+
+    def _written(self, key: str) -> None:
+        for node in self.nodes.values():
+            node.copies.pop(key, None)
+
+    # What happens
+
+    def _announce(self, name: str, lifecycle: str) -> None:
+        """Tell every router of a change, each so much later."""
+        told = self.plan.scenario.fleet.told_s
+        for router in self.plan.routers:
+            entry = self._entry(name, router.zone, lifecycle)
+            delay = told.least + (told.most - told.least) * self._told_rng.random()
+            self.loop.call_later(delay, self._tell, router.id, entry)
+
+    def _tell(self, router: str, entry: dict[str, Any]) -> None:
+        self.agents[router].change(entry)
+
+    def happen(self, happening: Happening) -> str:
+        """Let something happen to a node, the store, the registry or the copies; returns a line of it."""
+        names = list(self.nodes)
+        name = self.plan.nodes[happening.place % len(self.plan.nodes)].id
+        if name not in self.nodes:
+            name = names[happening.place % len(names)]
+        node, later = self.nodes[name], happening.length
+        match happening.kind:
+            case "invalidation":
+                for each in self.nodes.values():
+                    each.drop_copies(happening.share)
+                return f"{happening.share:.0%} of the kept copies go void"
+            case "store-down":
+                self.store.die()
+                self.loop.call_later(later, self.store.revive)
+                return f"the store is down for {later:g} s"
+            case "registry-down":
+                for agent in self.agents.values():
+                    agent.set_down(True)
+                self.loop.call_later(later, self._registry_back)
+                return f"the registry is down for {later:g} s"
+            case "node-kill":
+                node.die()
+                self._announce(name, "removed")
+                return f"{name} dies"
+            case "node-silent":
+                node.station.set_silent(True)
+                self.loop.call_later(later, node.station.set_silent, False)
+                return f"{name} is cut off for {later:g} s"
+            case "node-drain":
+                node.trouble.draining = True
+                self._announce(name, "draining")
+                self.loop.call_later(DRAIN_S + self.plan.scenario.fleet.told_s.most, self._drained, name)
+                return f"{name} drains"
+            case "node-restart":
+                node.die()
+                self.loop.call_later(later, self._restarted, name)
+                return f"{name} dies, to start again {later:g} s later"
+            case "node-replace":
+                return self._replace(name)
+            case "node-slow":
+                node.serving.set_factor(happening.factor)
+                self.loop.call_later(later, node.serving.set_factor, 1.0)
+                return f"{name} has {happening.factor:.0%} of its speed for {later:g} s"
+            case "node-refuse":
+                node.station.refuse()
+                self.loop.call_later(later, node.station.reopen)
+                return f"{name} refuses connections for {later:g} s"
+            case "node-half" | "node-garble" | "node-reset":
+                trouble = happening.kind.removeprefix("node-")
+                setattr(node.trouble, trouble, happening.share)
+                self.loop.call_later(later, setattr, node.trouble, trouble, 0.0)
+                return f"{name}: {happening.share:.0%} of its answers are spoilt ({trouble}) for {later:g} s"
+        raise ValueError(f"nothing known happens as {happening.kind}")
+
+    def _registry_back(self) -> None:
+        for agent in self.agents.values():
+            agent.set_down(False)
+
+    def _drained(self, name: str) -> None:
+        node = self.nodes[name]
+        node.station.refuse()
+        node.station.break_all()
+        self._announce(name, "removed")
+
+    def _restarted(self, name: str) -> None:
+        self.referee.started(name)
+        self._started_ms[name] = self._unix_ns() // 1_000_000
+        self.nodes[name].revive()
+        self._announce(name, "up")
+
+    def _replace(self, name: str) -> str:
+        """Another node, under its own id, comes up at the address of one that dies."""
+        old, new = self.nodes[name], self._spares.pop(0)
+        old.die()
+        self._announce(name, "removed")
+        new.station.ports = dict(old.station.ports)
+        self.nodes[new.setup.id] = new
+        self._started_ms[new.setup.id] = self._unix_ns() // 1_000_000
+        self.referee.started(new.setup.id)
+        self.loop.create_task(new.start(cold=True))
+        self._announce(new.setup.id, "up")
+        return f"{name} dies, and {new.setup.id} starts at its address"
--- /dev/null
+++ b/pebblepass/standins/clients.py
@@ -0,0 +1,192 @@
+"""Stand-in clients: kept connections to one router, one request at a time on each, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import cast
+
+import hiredis
+
+from pebblepass.wire.address import Address
+from pebblepass.wire.resp import command
+
+
+class Answer(Enum):
+    """What became of one request, as its client sees it."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    WRONG = "wrong"
+    """Served with a value that was made for another request."""
+    CUT = "cut"
+    """A value was begun and not finished."""
+    CLOSED = "closed"
+    """The router closed the connection without a byte of an answer."""
+    UNREACHED = "unreached"
+    """No connection came up."""
+    UNANSWERED = "unanswered"
+    """Nothing came in the time that the client listened."""
+
+
+Done = Callable[[Answer, int], None]
+"""Takes the answer and, for a refusal, after how many milliseconds to come back (0: it does not say)."""
+
+
+class Request:
+    """One request on its way: its command, its client's patience, and who is told of the end."""
+
+    def __init__(self, words: tuple[bytes, ...], proof: bytes, taken: Callable[[], None], done: Done) -> None:
+        """`proof`: what a value made for this request begins with; `taken` is called when it is written."""
+        self.data, self.proof, self.taken, self.done = command(*words), proof, taken, done
+        self.line: ClientLine | None = None
+        self.fresh = False
+        """Whether it is the first one on its connection."""
+        self.over = False
+
+    def end(self, answer: Answer, back_ms: int = 0) -> None:
+        """End it, once."""
+        if not self.over:
+            self.over = True
+            self.done(answer, back_ms)
+
+    def leave(self) -> None:
+        """The client goes away: it closes its connection and is told of nothing more."""
+        self.over = True
+        if self.line is not None:
+            self.line.close()
+
+
+class ClientPool:
+    """The connections of a router's clients; more are opened when all are busy."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
+        self.loop, self.address = loop, address
+        self.idle: list[ClientLine] = []
+        self.lines: dict[ClientLine, None] = {}
+        self.stray: Callable[[bytes], None] = lambda _: None
+        """Told of bytes that came when nothing was asked."""
+        self._dials: dict[asyncio.Task[None], None] = {}
+
+    def ask(self, request: Request) -> None:
+        """Write a request on a kept connection, or on a new one."""
+        while self.idle:
+            line = self.idle.pop()
+            if line.usable:
+                line.start(request, fresh=False)
+                return
+        dial = self.loop.create_task(self._dial(request))
+        self._dials[dial] = None
+
+    async def _dial(self, request: Request) -> None:
+        task = asyncio.current_task()
+        try:
+            _, line = await self.loop.create_connection(lambda: ClientLine(self), *self.address)
+        except OSError:
+            request.end(Answer.UNREACHED)
+            return
+        finally:
+            if task is not None:
+                self._dials.pop(task, None)
+        if request.over:
+            line.close()
+        elif not line.usable:
+            request.end(Answer.UNREACHED)
+        else:
+            line.start(request, fresh=True)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for dial in list(self._dials):
+            dial.cancel()
+        for line in list(self.lines):
+            line.close()
+
+
+class ClientLine(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, pool: ClientPool) -> None:
+        self._pool = pool
+        self._reader = hiredis.Reader()
+        self._request: Request | None = None
+        self._begun = False
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+        self._pool.lines[self] = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether it can take a request."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def start(self, request: Request, fresh: bool) -> None:
+        """Write a request."""
+        assert self.transport is not None
+        self._request, request.line, request.fresh = request, self, fresh
+        self._begun = False
+        self.transport.write(request.data)
+        request.taken()
+
+    def data_received(self, data: bytes) -> None:
+        """Read an answer."""
+        request = self._request
+        if request is None:
+            self._pool.stray(data)
+            self.close()
+            return
+        self._begun = True
+        try:
+            self._reader.feed(data)
+            answer = self._reader.gets()
+        except hiredis.ProtocolError:
+            self._end(Answer.FAILED)
+            self.close()
+            return
+        if answer is False:
+            return
+        if self._reader.has_data():
+            self._pool.stray(data)
+            self.close()
+        if isinstance(answer, list) and answer:
+            answer = answer[0]
+        if isinstance(answer, hiredis.ReplyError):
+            words = str(answer).split()
+            if words and words[0] == "BUSY":
+                back = int(words[1]) if len(words) > 1 and words[1].isdecimal() else 0
+                self._end(Answer.REFUSED, back)
+            else:
+                self._end(Answer.FAILED)
+        elif isinstance(answer, bytes) and answer.startswith(request.proof):
+            self._end(Answer.SERVED)
+        elif isinstance(answer, bytes):
+            self._end(Answer.WRONG)
+        else:
+            self._end(Answer.FAILED)
+
+    def _end(self, answer: Answer, back_ms: int = 0) -> None:
+        request, self._request = self._request, None
+        if self.usable:
+            self._pool.idle.append(self)
+        if request is not None:
+            request.line = None
+            request.end(answer, back_ms)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection."""
+        self.transport = None
+        self._pool.lines.pop(self, None)
+        if self in self._pool.idle:
+            self._pool.idle.remove(self)
+        if self._request is not None:
+            self._end(Answer.CUT if self._begun else Answer.CLOSED)
+
+    def close(self) -> None:
+        """Close it."""
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/pebblepass/standins/witness.py
@@ -0,0 +1,52 @@
+"""What stand-ins tell whoever watches: the only way from them to a count or a check."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from pebblepass.standins.effects import Doubled
+
+
+class Witness(Protocol):
+    """Takes what stand-ins see; times are the loop's, in seconds."""
+
+    def attempt_came(self, request: str, server: str, now: float) -> None:
+        """The first byte of an attempt has come to a mirror node or the store."""
+
+    def attempt_ended(self, request: str, server: str, outcome: str, now: float) -> None:
+        """An attempt was answered: `hit`, `miss`, `stored`, `fetched`, `busy`, `error` or `spoilt`."""
+
+    def effect_doubled(self, doubled: Doubled) -> None:
+        """An effect has happened twice."""
+
+    def was_told(self, router: str, server: str, state: str, now: float) -> None:
+        """The registry has written to a router that a server is `up`, `draining` or `removed`."""
+
+    def knows_start(self, request: str, server: str) -> bool:
+        """Whether the router that holds this request was told of the server's last start."""
+
+    def pushed_over(self, server: str, share_told: float, now: float) -> None:
+        """A cold node was sent too much; that share of it came from routers told of its start."""
+
+
+class Nobody:
+    """A witness that takes no notice; for stand-ins used on their own."""
+
+    def attempt_came(self, request: str, server: str, now: float) -> None:
+        """Take no notice."""
+
+    def attempt_ended(self, request: str, server: str, outcome: str, now: float) -> None:
+        """Take no notice."""
+
+    def effect_doubled(self, doubled: Doubled) -> None:
+        """Take no notice."""
+
+    def was_told(self, router: str, server: str, state: str, now: float) -> None:
+        """Take no notice."""
+
+    def knows_start(self, request: str, server: str) -> bool:
+        """Nobody was told."""
+        return False
+
+    def pushed_over(self, server: str, share_told: float, now: float) -> None:
+        """Take no notice."""
