Add the pebblepass command: run, check and rehearse, with tables and a page

Need: a rehearsal has to be one command that anybody can run, and the virtual clock under it has to be held to what it promises.

--- /dev/null
+++ b/pebblepass/cli.py
@@ -0,0 +1,122 @@
+"""The `pebblepass` command. Each sub-command loads what it needs when it is called."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from pebblepass import __version__
+
+OPERATOR_VARIABLE = "PEBBLEPASS_OPERATOR"
+EXIT_BROKEN, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
+
+
+def _stop(line: str) -> None:
+    """End with one plain line and exit code 2."""
+    click.echo(f"pebblepass: {line}", err=True)
+    sys.exit(EXIT_USAGE)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="pebblepass")
+def main() -> None:
+    """A router between package clients and cache servers, and the kit to rehearse with it."""
+
+
+@main.command()
+@click.option("--operator", type=click.Path(path_type=Path), help="The operator's file.")
+def run(operator: Path | None) -> None:
+    """Run a router, configured by LB_CONFIG as the platform does."""
+    from pebblepass.daemon.__main__ import main as daemon_main
+
+    if operator is not None:
+        os.environ[OPERATOR_VARIABLE] = str(operator)
+    sys.exit(daemon_main())
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def check(file: Path) -> None:
+    """Check an operator's FILE, and print what would be in force."""
+    from pebblepass.operator import FileError, describe, load_operator
+
+    try:
+        operator = load_operator(file)
+    except FileError as error:
+        _stop(str(error))
+        return
+    for name, value, meaning in describe(operator):
+        click.echo(f"{name} = {value!r}  # {meaning}")
+
+
+@main.command()
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="What is drawn.")
+@click.option("--routers", type=click.IntRange(1, 64), help="Routers, in place of the scenario's.")
+@click.option("--nodes", type=click.IntRange(1, 512), help="Mirror nodes, in place of the scenario's.")
+@click.option("--rate", type=click.FloatRange(0, min_open=True), help="Requests a second, likewise.")
+@click.option("--report", type=click.Path(path_type=Path), help="Write the report here, as JSON.")
+@click.option("--html", type=click.Path(path_type=Path), help="Write the report here, as a page with plots.")
+@click.option("--real-time", is_flag=True, help="Against processes started by the deploy file's `run`.")
+@click.option(
+    "--deploy",
+    type=click.Path(path_type=Path),
+    default=Path("deploy/balancer.toml"),
+    show_default=True,
+    help="The deploy file, for --real-time.",
+)
+def rehearse(
+    scenario: str,
+    seed: int,
+    routers: int | None,
+    nodes: int | None,
+    rate: float | None,
+    report: Path | None,
+    html: Path | None,
+    real_time: bool,
+    deploy: Path,
+) -> None:
+    """Play SCENARIO (a shipped name, or a file) against the daemon's code on loopback, and report.
+
+    Exit code 0: every rule held and all adds up; 1: not so; 2: wrong usage.
+    """
+    from pebblepass.operator import FileError
+    from pebblepass.rehearsal.plan import make_plan
+    from pebblepass.rehearsal.report import as_json, verdict
+    from pebblepass.rehearsal.runner import RehearsalError
+    from pebblepass.rehearsal.scenario import load_scenario
+    from pebblepass.rehearsal.terminal import play, print_report
+
+    try:
+        drawn = load_scenario(scenario).scaled(routers, nodes, rate)
+    except FileError as error:
+        _stop(str(error))
+        return
+    if real_time and not deploy.is_file():
+        _stop(f"{deploy}: no deploy file")
+    for path in (report, html):
+        if path is not None and not path.resolve().parent.is_dir():
+            _stop(f"{path}: no such folder")
+    plan = make_plan(drawn, seed)
+    try:
+        told = play(plan, deploy if real_time else None)
+    except RehearsalError as error:
+        _stop(str(error))
+        return
+    print_report(told)
+    if report is not None:
+        report.write_bytes(as_json(told))
+    if html is not None:
+        from pebblepass.rehearsal.page import as_page
+
+        html.write_text(as_page(told))
+    if told["interrupted"]:
+        sys.exit(EXIT_INTERRUPTED)
+    sys.exit(EXIT_BROKEN if verdict(told) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -35,6 +35,9 @@
     `start` it, `drain` it where what it has taken is to be answered first, and `stop` it.
     """
 
+    host_class = RouterHost
+    """What carries out the module's actions; a rehearsal of a broken router puts another here."""
+
     def __init__(
         self, loop: asyncio.AbstractEventLoop, config: Config, unix_ns: Callable[[], int] = time.time_ns
     ) -> None:
@@ -43,7 +46,7 @@
         for_clients = int(descriptors * CLIENT_SHARE)
         dial_timeout, idle_close = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
         self._pool = Pool(loop, descriptors - for_clients, dial_timeout, idle_close)
-        self.host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
+        self.host = self.host_class(loop, config.settings, config.seed, self._pool, config.max_open)
         # Those that are only refused need descriptors too: beyond the share servers would miss them.
         served = max(for_clients - REFUSERS, for_clients // 2)
         self.clients = ClientServer(loop, self.host, served, int(config.memory * BUDGET_SHARE))
--- a/pebblepass/rehearsal/plan.py
+++ b/pebblepass/rehearsal/plan.py
@@ -118,6 +118,8 @@
     """One way between two zones, in seconds."""
     asks: tuple[Ask, ...]
     happenings: tuple[Happening, ...]
+    troubles: tuple[tuple[float, str], ...]
+    """What clients bring, as words: when it begins, and what it is."""
     popular: tuple[str, ...]
     """Keys, the most popular first, that a pooled cache of the fleet's size holds."""
 
@@ -186,6 +188,7 @@
         delays=delays,
         asks=tuple(_asks(scenario, streams, keys, routers)),
         happenings=_happenings(scenario, streams),
+        troubles=_told_troubles(scenario, streams),
         popular=keys.pooled,
     )
 
@@ -317,6 +320,25 @@
     ]
 
 
+_TROUBLE_WORDS = {
+    "burst": "{share:.0%} more requests, all for one new package",
+    "one-time": "{share:.0%} of the reads ask for keys that are wanted once",
+    "skew": "{share:.0%} of all traffic goes to {routers} router(s)",
+}
+
+
+def _told_troubles(scenario: Scenario, streams: Streams) -> tuple[tuple[float, str], ...]:
+    return tuple(
+        (
+            trouble.at_s,
+            _TROUBLE_WORDS[trouble.kind].format(share=share, routers=trouble.routers)
+            + f" for {trouble.for_s:g} s",
+        )
+        for trouble, share in _shares(scenario, streams)
+        if trouble.kind in _TROUBLE_WORDS
+    )
+
+
 class _Quota:
     """Which requests lie beyond a namespace's share: a bucket of one second's allowance each."""
 
--- a/pebblepass/rehearsal/report.py
+++ b/pebblepass/rehearsal/report.py
@@ -135,3 +135,20 @@
     ]
     lines += [f"does not add up: {line}" for line in report["balance"]]
     return lines + [f"crashed: {line}" for line in report["crashes"]]
+
+
+def compare(real: dict[str, Any], virtual: dict[str, Any]) -> dict[str, tuple[float, float]]:
+    """What differs between two playings of one plan: each such figure, real before virtual."""
+    both = {name: (value, virtual["service"][name]) for name, value in real["service"].items()}
+    figures = {f"service {name}": pair for name, pair in both.items() if isinstance(pair[0], int | float)}
+    for kind in ("classes", "namespaces"):
+        for name, value in real["service"][kind].items():
+            figures[f"service {name}"] = (value, virtual["service"][kind][name])
+    for outcome in ("asked", *OUTCOMES):
+        figures[f"tries {outcome}"] = (
+            sum(tally[outcome] for tally in real["routers"].values()),
+            sum(tally[outcome] for tally in virtual["routers"].values()),
+        )
+    for name, value in real["store"].items():
+        figures[f"store {name}"] = (value, virtual["store"][name])
+    return {name: pair for name, pair in figures.items() if pair[0] != pair[1]}
--- a/pebblepass/rehearsal/routers.py
+++ b/pebblepass/rehearsal/routers.py
@@ -135,7 +135,11 @@
                     self._crash = f"used {used >> 10} MB of {memory_kb >> 10}"
                     process.kill()
             await asyncio.sleep(WATCH_S)
-        self._crash = self._crash or f"ended by itself with {process.returncode}"
+        self._crash = self._crash or f"ended by itself with {process.returncode}: {self._last_line()}"
+
+    def _last_line(self) -> str:
+        lines = (self._folder / "log").read_text(errors="replace").splitlines()
+        return lines[-1] if lines else "it logged nothing"
 
     async def _end(self, how: signal.Signals) -> None:
         process, self._process = self._process, None
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -91,7 +91,7 @@
             self.series,
             self.world,
             clock=self._stage.clock,
-            events=self.events,
+            events=sorted([*self.plan.troubles, *self.events]),
             crashes=[*crashes, *faults.seen],
             interrupted=interrupted,
         )
--- /dev/null
+++ b/pebblepass/rehearsal/terminal.py
@@ -0,0 +1,96 @@
+"""A rehearsal on a terminal: its progress while it is played, and its report as tables."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from pebblepass.rehearsal.count import OUTCOMES
+from pebblepass.rehearsal.plan import Plan
+from pebblepass.rehearsal.report import Series, compare, verdict
+from pebblepass.rehearsal.runner import rehearse, rehearse_in_real_time
+
+REFRESH_S = 0.1
+WIDTH = 120  # where the output goes to a file
+
+
+def play(plan: Plan, deploy: Path | None) -> dict[str, Any]:
+    """Play a plan, in virtual time or, with a deploy file, in real time; shows the progress on a terminal."""
+    console = Console(stderr=True)
+    with Live(console=console, auto_refresh=False, transient=True) as live:
+        shown_at = 0.0
+
+        def progress(second: float, series: Series) -> None:
+            nonlocal shown_at
+            now = time.monotonic()  # the terminal's own clock: nothing of the rehearsal depends on it
+            if console.is_terminal and now - shown_at >= REFRESH_S:
+                shown_at = now
+                live.update(_progress(plan, second, series), refresh=True)
+
+        if deploy is None:
+            return rehearse(plan, progress)
+        with tempfile.TemporaryDirectory(prefix="rehearsal-") as folder:
+            report = rehearse_in_real_time(plan, Path(folder), deploy, progress)
+        if not report["interrupted"]:
+            report["compared"] = compare(report, rehearse(plan, progress))
+        return report
+
+
+def _progress(plan: Plan, second: float, series: Series) -> Table:
+    table = Table.grid(padding=(0, 2))
+    busiest = sorted(((row[-1], name) for name, row in series.load.items() if row), reverse=True)[:5]
+    table.add_row(plan.scenario.title, f"{second:.0f} of {plan.scenario.length_s:g} s")
+    table.add_row("open requests", str(series.open[-1]))
+    table.add_row("origin fetches a second", str(series.fetches[-1]))
+    table.add_row("busiest nodes", ", ".join(f"{name} {load:.0%}" for load, name in busiest))
+    return table
+
+
+def print_report(report: dict[str, Any]) -> None:
+    """Print a report as plain tables."""
+    console = Console(highlight=False)
+    if not console.is_terminal:
+        console = Console(highlight=False, width=WIDTH)
+    scale, service = report["scale"], report["service"]
+    console.print(
+        f"{report['scenario']}: seed {report['seed']}, plan {report['plan']}, {report['clock']} clock, "
+        f"{scale['routers']} routers, {scale['nodes']} nodes, {scale['rate']:g} requests a second, "
+        f"{scale['length_s']:g} s" + (" (interrupted)" if report["interrupted"] else ""),
+        soft_wrap=True,
+    )
+    for at, what in report["events"]:
+        console.print(f"  {at:6.1f} s  {what}", soft_wrap=True)
+    table = Table("service", "of what was asked", box=None)
+    table.add_row("weighted", f"{service['weighted']:.3f}")
+    table.add_row("whole run", f"{service['whole']:.3f}")
+    table.add_row(f"worst 10 s (from {service['worst_10_s_from']} s)", f"{service['worst_10_s']:.3f}")
+    for name, value in (*service["namespaces"].items(), *service["classes"].items()):
+        table.add_row(name, f"{value:.3f}")
+    console.print(table)
+    tries = Table("namespace", "class", "asked", *OUTCOMES, box=None)
+    for namespace, classes in report["tries"].items():
+        for cls, tally in classes.items():
+            tries.add_row(namespace, cls, *(str(tally[name]) for name in ("asked", *OUTCOMES)))
+    console.print(tries)
+    rules = Table("rule", "held", "breaches", box=None)
+    for rule, told in report["rules"].items():
+        rules.add_row(rule, "yes" if told["held"] else "NO", str(told["breaches"]))
+    console.print(rules)
+    console.print(
+        f"store: {report['store']['fetches']} fetches, {report['store']['writes']} writes; "
+        f"repeats dropped: {report['effects']['repeats_dropped']}",
+        soft_wrap=True,
+    )
+    if compared := report.get("compared"):
+        table = Table("figure", "real", "virtual", box=None)
+        for name, (real, virtual) in compared.items():
+            table.add_row(name, f"{real:g}", f"{virtual:g}")
+        console.print(table)
+    for line in verdict(report):
+        console.print(line, soft_wrap=True)
