--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -106,6 +106,9 @@
     except RehearsalError as error:
         _stop(str(error))
         return
+    except KeyboardInterrupt:
+        click.echo("pebblepass: interrupted before it began", err=True)
+        sys.exit(EXIT_INTERRUPTED)
     print_report(told)
     if report is not None:
         report.write_bytes(as_json(told))
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -73,6 +73,7 @@
         """Play it; returns the report, also where it was interrupted."""
         interrupted = False
         with _DaemonFaults() as faults:
+            self._loop.set_exception_handler(faults.on_loop)
             try:
                 await self._play()
             except asyncio.CancelledError:
@@ -239,7 +240,7 @@
 
 
 class _DaemonFaults(logging.Handler):
-    """Takes the daemons' log: exceptions in their code are faults, the rest is not shown."""
+    """Takes the daemons' log and what the loop catches: exceptions are faults, the rest is not shown."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -251,6 +252,11 @@
             error = record.exc_info[1]
             self.seen.append(f"{record.getMessage()}: {type(error).__name__}: {error}")
 
+    def on_loop(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Take what the loop has caught: an exception in a callback."""
+        error = context.get("exception")
+        self.seen.append(f"{context['message']}: {type(error).__name__}: {error}")
+
     def __enter__(self) -> _DaemonFaults:
         log = logging.getLogger("pebblepass")
         self._propagated = log.propagate
--- a/pebblepass/rehearsal/terminal.py
+++ b/pebblepass/rehearsal/terminal.py
@@ -28,6 +28,8 @@
 
         def progress(second: float, series: Series) -> None:
             nonlocal shown_at
+            if not console.is_terminal and second < 1:
+                console.print(f"playing {plan.scenario.title}: {len(plan.asks)} asks", soft_wrap=True)
             now = time.monotonic()  # the terminal's own clock: nothing of the rehearsal depends on it
             if console.is_terminal and now - shown_at >= REFRESH_S:
                 shown_at = now
--- a/pebblepass/standins/core.py
+++ b/pebblepass/standins/core.py
@@ -14,7 +14,7 @@
 
 Job = TypeVar("Job")
 
-WARM_STEP_S = 0.1  # the speed of a core that warms up is constant for so long
+WARM_STEP_S = 0.125  # the speed of a core that warms up is constant for so long
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/rehearsal/test_rehearsal.py
@@ -0,0 +1,375 @@
+"""Whole rehearsals: the same twice, every rule's breaker caught, and all tries accounted for."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from pebblepass.daemon.daemon import Daemon
+from pebblepass.daemon.router import OpenRequest, RouterHost
+from pebblepass.decisions.interface import Send, ServerState
+from pebblepass.membership.registry import Listing
+from pebblepass.rehearsal import runner
+from pebblepass.rehearsal.count import OUTCOMES
+from pebblepass.rehearsal.plan import make_plan
+from pebblepass.rehearsal.report import as_json, compare, verdict
+from pebblepass.rehearsal.runner import RehearsalError, rehearse
+from pebblepass.rehearsal.scenario import (
+    DEFAULT_CLASSES,
+    Fault,
+    Fleet,
+    Node,
+    Range,
+    RequestClass,
+    Scenario,
+    Traffic,
+    Trouble,
+    load_scenario,
+)
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+LIMIT_S = 120  # of real time, for one command on a busy machine
+
+ALL_TROUBLES = (
+    Trouble(kind="burst", at_s=2, for_s=8, share=Range(0.5, 0.5)),
+    Trouble(kind="invalidation", at_s=4, share=Range(0.74, 0.74)),
+    Trouble(kind="one-time", at_s=3, for_s=7, share=Range(0.2, 0.2)),
+    Trouble(kind="skew", at_s=3, for_s=7, share=Range(0.25, 0.25)),
+)
+
+
+def small(**changes: Any) -> Scenario:
+    scenario = Scenario(
+        title="small",
+        length_s=12,
+        fleet=Fleet(routers=2, nodes=8),
+        traffic=Traffic(rate=60, swing=0),
+    )
+    return msgspec.structs.replace(scenario, **changes)
+
+
+def broken_rules(report: dict[str, Any]) -> list[str]:
+    return [rule for rule, told in report["rules"].items() if not told["held"]]
+
+
+def command(*words: str, **environ: str) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "pebblepass.cli", "rehearse", *words],
+        cwd=ROOT,
+        env={**os.environ, **environ},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+@contextmanager
+def loaded() -> Iterator[None]:
+    """Every core kept busy by a loop."""
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(os.cpu_count() or 1)]
+    try:
+        yield
+    finally:
+        for each in busy:
+            each.kill()
+            each.wait()
+
+
+def test_ten_runs_of_one_seed_are_the_same_to_the_byte_idle_or_loaded(tmp_path: Path) -> None:
+    def runs(first: int) -> list[bytes]:
+        files = [tmp_path / f"{number}.json" for number in range(first, first + 5)]
+        started = [
+            command("broken-parts", "--seed", "7", "--report", str(file), PYTHONHASHSEED=str(place))
+            for place, file in enumerate(files)
+        ]
+        for each in started:
+            _, error = each.communicate(timeout=LIMIT_S)
+            assert each.returncode == 0, error
+        return [file.read_bytes() for file in files]
+
+    idle = runs(0)
+    with loaded():
+        busy = runs(5)
+    assert set(idle) == set(busy)
+    assert len(set(idle)) == 1
+
+
+def test_another_seed_gives_another_report() -> None:
+    reports = [rehearse(make_plan(small(), seed)) for seed in (1, 2)]
+    assert reports[0]["trace"] != reports[1]["trace"]
+    assert reports[0]["plan"] != reports[1]["plan"]
+
+
+def test_four_troubles_at_once_and_every_try_is_accounted_for() -> None:
+    plan = make_plan(small(troubles=ALL_TROUBLES), 3)
+    report = rehearse(plan)
+    assert verdict(report) == []
+    total: Counter[str] = Counter()
+    for classes in report["tries"].values():
+        for tally in classes.values():
+            assert tally["asked"] == sum(tally[outcome] for outcome in OUTCOMES)
+            total.update(tally)
+    assert total["served"] > 100
+    assert total["refused"] > 100  # the troubles were felt
+    routers: Counter[str] = Counter()
+    for tally in report["routers"].values():
+        routers.update(tally)
+    assert routers == total
+    assert total["asked"] >= len(plan.asks)
+
+
+def test_the_troubles_cost_service() -> None:
+    calm = rehearse(make_plan(small(), 3))
+    rough = rehearse(make_plan(small(troubles=ALL_TROUBLES), 3))
+    assert rough["service"]["weighted"] < calm["service"]["weighted"] - 0.05
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_part_after_part_breaks_and_every_rule_holds(seed: int) -> None:
+    report = rehearse(make_plan(load_scenario("broken-parts"), seed))
+    assert verdict(report) == []
+    assert len(report["events"]) == 16
+
+
+FAULTS_IN_MIDST = (
+    Fault(kind="clients-leave", at_s=1, for_s=9, share=0.5),
+    Fault(kind="router-kill", at_s=4, place=0),
+    Fault(kind="node-drain", at_s=3),
+    Fault(kind="router-term", at_s=7, place=1),
+)
+
+
+def test_clients_that_leave_a_router_killed_and_a_drain_while_long_values_are_streamed() -> None:
+    scenario = small(
+        faults=FAULTS_IN_MIDST,
+        traffic=Traffic(rate=40, swing=0, value_bytes=Range(70_000, 150_000)),
+    )
+    report = rehearse(make_plan(scenario, 5))
+    assert verdict(report) == []
+    total: Counter[str] = Counter()
+    for tally in report["routers"].values():
+        total.update(tally)
+    assert total["gone"] > 20
+    assert total["killed"] + total["unreached"] > 0
+    assert total["served"] > 100
+
+
+# Routers that break one rule each: a check that can't fail is worth nothing.
+
+ORDER = RequestClass(
+    name="order",
+    share=0.1,
+    work_ms=Range(40, 60),
+    aim_ms=500,
+    deadline_ms=1200,
+    worth=5,
+    effect="unsafe",
+    write=True,
+)
+FETCH = msgspec.structs.replace(DEFAULT_CLASSES[0], share=0.9)
+
+
+class DeafToDrains(RouterHost):
+    """Never hears that a server drains or is gone."""
+
+    def servers_changed(self, listing: Listing) -> None:
+        kept = tuple(s for s in listing.change.servers if s.state is ServerState.READY)
+        super().servers_changed(replace(listing, change=replace(listing.change, servers=kept)))
+
+
+class AnswersTwice(RouterHost):
+    """Writes a second answer behind the first."""
+
+    def settle(self, request: OpenRequest) -> None:
+        if request.closed and not request.out and request.id in self._requests:
+            request.reply._connection.write(b"-ERR and again\r\n")
+        super().settle(request)
+
+
+class RepeatsWrites(RouterHost):
+    """Sends every write twice."""
+
+    def _send(self, action: Send) -> None:
+        super()._send(action)
+        request = self._requests.get(action.request)
+        if request is not None and request.command.value is not None and request.attempts == 1:
+            super()._send(action)
+
+
+class FloodsNewcomers(RouterHost):
+    """Sends every read to the server that has started last."""
+
+    newest = ""
+
+    def servers_changed(self, listing: Listing) -> None:
+        super().servers_changed(listing)
+        for server in listing.change.servers:
+            if server.started and server.state is ServerState.READY:
+                self.newest = server.id
+
+    def _send(self, action: Send) -> None:
+        if self.newest and action.server not in self._origins:
+            action = Send(action.request, self.newest, action.timeout)
+        super()._send(action)
+
+
+class Forgets(RouterHost):
+    """Never answers every tenth request."""
+
+    taken = 0
+
+    def _answer(self, request_id: str, data: bytes) -> None:
+        self.taken += 1
+        if self.taken % 10:
+            super()._answer(request_id, data)
+
+
+def broken_daemon(host: type[RouterHost]) -> type[Daemon]:
+    class Broken(Daemon):
+        host_class = host
+
+    return Broken
+
+
+BREAKERS = [
+    (DeafToDrains, "drains kept", small(faults=(Fault(kind="node-drain", at_s=2, place=0),))),
+    (AnswersTwice, "every request answered", small()),
+    (Forgets, "every request answered", small(troubles=ALL_TROUBLES)),
+    (RepeatsWrites, "no effect twice", small(classes=(FETCH, ORDER))),
+    (
+        FloodsNewcomers,
+        "no cold node pushed over",
+        small(
+            fleet=Fleet(routers=2, nodes=8, told_s=Range(0.5, 0.6)),
+            node=Node(miss_work=1.0, queue=Range(4, 4)),
+            traffic=Traffic(rate=250, swing=0),
+            faults=(Fault(kind="node-restart", at_s=2, for_s=0.5, place=0),),
+        ),
+    ),
+]
+
+
+@pytest.mark.parametrize(("host", "rule", "scenario"), BREAKERS)
+def test_a_router_that_breaks_one_rule_fails_by_that_rule_alone(
+    host: type[RouterHost], rule: str, scenario: Scenario
+) -> None:
+    plan = make_plan(scenario, 3)
+    assert broken_rules(rehearse(plan)) == []
+    report = rehearse(plan, make=broken_daemon(host))
+    assert broken_rules(report) == [rule]
+    assert verdict(report)[0].startswith(f"rule broken: {rule}")
+
+
+def test_a_fault_in_the_daemons_code_fails_the_rehearsal() -> None:
+    class Stumbles(RouterHost):
+        def client_gone(self, reply: Any) -> None:
+            raise ZeroDivisionError("stumbled")
+
+    scenario = small(faults=(Fault(kind="clients-leave", at_s=1, for_s=9, share=0.2),))
+    report = rehearse(make_plan(scenario, 3), make=broken_daemon(Stumbles))
+    assert any("stumbled" in line for line in report["crashes"])
+    assert any(line.startswith("crashed") for line in verdict(report))
+
+
+def test_a_port_in_use_says_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def taken_port(loop: Any) -> int:
+        server = await loop.create_server(lambda: None, "127.0.0.1", 0)
+        return int(server.sockets[0].getsockname()[1])
+
+    monkeypatch.setattr(runner, "_free_port", taken_port)
+    with pytest.raises(RehearsalError, match=r"r0 can't listen at .* in use"):
+        rehearse(make_plan(small(), 1))
+
+
+def test_compared_reports_tell_only_what_differs() -> None:
+    calm, rough = (rehearse(make_plan(small(troubles=t), 3)) for t in ((), ALL_TROUBLES))
+    assert compare(calm, calm) == {}
+    figures = compare(calm, rough)
+    assert figures["service weighted"] == (calm["service"]["weighted"], rough["service"]["weighted"])
+
+
+def test_the_report_does_not_tell_of_ports_or_of_this_machine() -> None:
+    text = as_json(rehearse(make_plan(small(), 1))).decode()
+    assert "127.0.0.1" not in text
+    assert os.fspath(ROOT) not in text
+
+
+# The command
+
+
+def test_release_morning_ends_in_a_report_and_the_exit_code_zero(tmp_path: Path) -> None:
+    page, file = tmp_path / "a.html", tmp_path / "a.json"
+    process = command("release-morning", "--seed", "7", "--report", str(file), "--html", str(page))
+    out, error = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 0, error
+    assert b"public" in out
+    assert b"municipal" in out
+    assert b"\x1b" not in out  # a plain table where there is no terminal
+    assert page.read_text().count("<svg") == 4
+    assert "<script" not in page.read_text()
+    assert "http" not in page.read_text()
+    assert msgspec.json.decode(file.read_bytes())["service"]["weighted"] > 0.3
+
+
+BAD = [
+    ("title = 'x'\nlength_s = 3\nspeed = 1", "speed: unknown key"),
+    ("title = 'x'\nlength_s = 3\n[traffic]\nrate = -1", "traffic.rate: expected `float` > 0.0"),
+    (
+        "title = 'x'\nlength_s = 3\n[[trouble]]\nkind = 'burst'\nat_s = 4",
+        "trouble[0]: burst at 4 s comes after the end at 3 s",
+    ),
+    ("title = 'x'\nlength_s = 3\n[[fault]]\nkind = 'rain'\nat_s = 1", "fault[0].kind: invalid enum value"),
+    ("title = 'x'\nlength_s = 3\n[node]\nspeed = [2, 1]", "node: speed: the least stands before the most"),
+    ("title = 'x'\nlength_s = 3\n[[fault]]\nkind = 'node-kill'\nat_s = 1\nplace = 99", "fault[0]: there are"),
+    (
+        "title = 'x'\nlength_s = 3\n[[namespace]]\nname = 'a'\nshare = 0.5",
+        "the shares of [[namespace]] must add up to 1",
+    ),
+    ("title = ", "not TOML"),
+]
+
+
+@pytest.mark.parametrize(("text", "words"), BAD)
+def test_a_scenario_that_cannot_be_used_is_one_line_and_nothing_starts(
+    tmp_path: Path, text: str, words: str
+) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text(text)
+    process = command(str(file))
+    out, error = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 2
+    assert out == b""
+    assert error.decode().startswith(f"pebblepass: {file}: {words}")
+    assert len(error.splitlines()) == 1
+
+
+@pytest.mark.parametrize(
+    "words", [("nowhere",), ("quiet", "--report", "/nowhere/a.json"), ("quiet", "--seed", "-1")]
+)
+def test_wrong_usage_is_exit_code_two(words: tuple[str, ...]) -> None:
+    process = command(*words)
+    out, error = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 2
+    assert out == b""
+    assert error
+
+
+def test_ctrl_c_stops_at_once_and_prints_what_it_has() -> None:
+    process = command("release-morning", "--nodes", "40", "--rate", "2000")
+    assert process.stderr is not None
+    assert b"playing" in process.stderr.readline()
+    process.send_signal(signal.SIGINT)
+    out, error = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 130, error
+    assert b"(interrupted)" in out
+    assert b"Traceback" not in error
