Keep a ledger: each request in one account, each illegal move a breach

Need: after a bad morning the operators must say where every request went, and the router keeps no counts at all.

Change: pebblepass.figures.ledger, pure: taken, served within the aim and late, refused and failed by reason, gone, open (counted from the entries), attempts, fetches, bytes, latency in log-linear buckets, for each class and namespace; a second answer, an answer for nothing, an entry never closed or without an owner, and an account that does not add up are each one breach. Namespaces that the settings don't name share one account. Stand-in clients that leave end their sending first, so that an answer already on its way counts as one.

--- /dev/null
+++ b/pebblepass/figures/ledger.py
@@ -0,0 +1,307 @@
+"""The ledger: every request in exactly one account, and what was taken equals the sum. No I/O, no clock.
+
+For each class and namespace: taken = served + refused + failed + gone + open. A request is entered once, when
+it is taken, and moved once, from open to one of the others. The open ones are counted from the entries
+themselves, never from a counter beside the others, so that a move that was missed or made twice shows.
+
+Times are nanoseconds of the caller's clock; sizes are bytes.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+OTHER = "(other)"
+"""The namespace to which all go that the settings don't name: strangers must not make labels."""
+
+REMEMBERED = 4096  # requests that were closed last: a second answer is told apart from one for nothing
+MOST_BREACHES = 256  # that are kept until they are acknowledged; all are counted
+SUB_BITS = 4  # a latency bucket is at most a sixteenth wide, as in HDR histograms (Tene)
+
+
+class BreachKind(Enum):
+    """What can be wrong with an entry."""
+
+    TWICE_TAKEN = "taken twice"
+    TWICE_CLOSED = "a second final answer"
+    NEVER_TAKEN = "an answer for nothing"
+    NEVER_CLOSED = "never closed"
+    NOT_OPEN = "open, but without an entry"
+    NO_BALANCE = "taken is not the sum of the others"
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """One illegal move, or one account that does not add up."""
+
+    number: int
+    kind: BreachKind
+    at: int
+    request: str
+    request_class: str
+    namespace: str
+    path: str
+    """From where the request came and what was being done with it."""
+
+    def as_dict(self) -> dict[str, Any]:
+        """The breach in plain values."""
+        return {
+            "number": self.number,
+            "kind": self.kind.value,
+            "at_ns": self.at,
+            "request": self.request,
+            "class": self.request_class,
+            "namespace": self.namespace,
+            "path": self.path,
+        }
+
+
+@dataclass(slots=True)
+class Account:
+    """The figures of one class in one namespace."""
+
+    taken: int = 0
+    served_in_aim: int = 0
+    served_late: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
+    failed: Counter[str] = field(default_factory=Counter)
+    gone: int = 0
+    attempts: Counter[str] = field(default_factory=Counter)
+    """Attempts at servers by their outcome."""
+    fetches: int = 0
+    """Attempts at the origin among them."""
+    bytes_taken: int = 0
+    bytes_served: int = 0
+    latency: Counter[int] = field(default_factory=Counter)
+    """Served requests by latency bucket; `bucket_bounds` gives a bucket's times."""
+
+    @property
+    def closed(self) -> int:
+        """All that stand in an account other than open."""
+        done = self.served_in_aim + self.served_late + self.gone
+        return done + sum(self.refused.values()) + sum(self.failed.values())
+
+
+@dataclass(slots=True)
+class _Entry:
+    account: Account
+    request_class: str
+    namespace: str
+    path: str
+    taken_at: int
+    due: int
+
+
+def bucket(latency_ns: int) -> int:
+    """The number of the latency's bucket: microseconds, a power of two split in sixteen."""
+    micros = latency_ns // 1000
+    shift = max(micros.bit_length() - SUB_BITS - 1, 0)
+    return (shift << SUB_BITS) + (micros >> shift)
+
+
+def bucket_bounds(number: int) -> tuple[int, int]:
+    """The microseconds of a bucket: from the first, to under the second."""
+    shift = max((number >> SUB_BITS) - 1, 0)
+    base = number - (shift << SUB_BITS)
+    return base << shift, (base + 1) << shift
+
+
+class Ledger:
+    """All accounts of one router since its start."""
+
+    def __init__(
+        self, aims: dict[str, int], namespaces: Iterable[str], told: Callable[[Breach], None] | None = None
+    ) -> None:
+        """`aims`: each class's aim in nanoseconds; `told` is called with each breach as it happens."""
+        self._aims = aims
+        self._namespaces = frozenset(namespaces)
+        self.accounts: dict[tuple[str, str], Account] = {
+            (name, namespace): Account() for name in aims for namespace in (*self._namespaces, OTHER)
+        }
+        self._entries: dict[str, _Entry] = {}
+        self._closed: OrderedDict[str, _Entry] = OrderedDict()
+        self._told = told
+        self._overdue: set[str] = set()
+        self._unbalanced: set[tuple[str, str]] = set()
+        self.breaches: list[Breach] = []
+        """Those not yet acknowledged, up to a bound."""
+        self.breach_count = 0
+
+    # Moves
+
+    def take(
+        self,
+        request: str,
+        request_class: str,
+        namespace: str | None,
+        now: int,
+        due: int,
+        size: int,
+        path: str,
+    ) -> None:
+        """Enter a request that is owed a final answer by `due`."""
+        entry = self._entry(request_class, namespace, now, due, path)
+        if request in self._entries:
+            self._breach(BreachKind.TWICE_TAKEN, now, request, entry)
+            return
+        self._entries[request] = entry
+        entry.account.taken += 1
+        entry.account.bytes_taken += size
+
+    def _entry(self, request_class: str, namespace: str | None, now: int, due: int, path: str) -> _Entry:
+        name = namespace if namespace in self._namespaces else OTHER
+        return _Entry(self.accounts[request_class, name], request_class, name, path, now, due)
+
+    def serve(self, request: str, now: int, size: int) -> None:
+        """Move a request to served."""
+        entry = self._close(request, now, "served")
+        if entry is None:
+            return
+        account, latency = entry.account, now - entry.taken_at
+        if latency <= self._aims[entry.request_class]:
+            account.served_in_aim += 1
+        else:
+            account.served_late += 1
+        account.bytes_served += size
+        account.latency[bucket(latency)] += 1
+
+    def refuse(self, request: str, now: int, reason: str) -> None:
+        """Move a request to refused."""
+        if (entry := self._close(request, now, "refused")) is not None:
+            entry.account.refused[reason] += 1
+
+    def fail(self, request: str, now: int, reason: str) -> None:
+        """Move a request to failed."""
+        if (entry := self._close(request, now, "failed")) is not None:
+            entry.account.failed[reason] += 1
+
+    def leave(self, request: str, now: int) -> None:
+        """Move a request to gone: its client has left."""
+        if (entry := self._close(request, now, "gone")) is not None:
+            entry.account.gone += 1
+
+    def turn_away(
+        self,
+        request_class: str,
+        namespace: str | None,
+        now: int,
+        size: int,
+        path: str,
+        refused: str = "",
+        failed: str = "",
+    ) -> None:
+        """Take a request and close it in one move: one that is never given to the decisions."""
+        account = self._entry(request_class, namespace, now, now, path).account
+        account.taken += 1
+        account.bytes_taken += size
+        if refused:
+            account.refused[refused] += 1
+        else:
+            account.failed[failed] += 1
+
+    def attempt(self, request: str, outcome: str, to_origin: bool) -> None:
+        """Count the end of an attempt; it may come after the request was closed."""
+        entry = self._entries.get(request) or self._closed.get(request)
+        if entry is not None:
+            entry.account.attempts[outcome] += 1
+            entry.account.fetches += to_origin
+
+    def _close(self, request: str, now: int, what: str) -> _Entry | None:
+        entry = self._entries.pop(request, None)
+        if entry is None:
+            before = self._closed.get(request)
+            kind = BreachKind.NEVER_TAKEN if before is None else BreachKind.TWICE_CLOSED
+            self._breach(kind, now, request, before, what)
+            return None
+        self._closed[request] = entry
+        if len(self._closed) > REMEMBERED:
+            self._closed.popitem(last=False)
+        self._overdue.discard(request)
+        return entry
+
+    # Checks
+
+    def audit(self, now: int, slack: int, open_requests: Collection[str] | None = None) -> None:
+        """Check every account, and the entries against the requests that their owner says are open.
+
+        `slack`: nanoseconds after its due time in which an entry may still be closed. A fault is told once.
+        """
+        counts: Counter[tuple[str, str]] = Counter()
+        for request, entry in self._entries.items():
+            counts[entry.request_class, entry.namespace] += 1
+            gone = open_requests is not None and request not in open_requests
+            if (gone or now > entry.due + slack) and request not in self._overdue:
+                self._overdue.add(request)
+                self._breach(BreachKind.NEVER_CLOSED, now, request, entry, "forgotten" if gone else "overdue")
+        for request in open_requests or ():
+            if request not in self._entries and request not in self._overdue:
+                self._overdue.add(request)
+                self._breach(BreachKind.NOT_OPEN, now, request, self._closed.get(request))
+        for key, account in self.accounts.items():
+            if account.taken != account.closed + counts[key] and key not in self._unbalanced:
+                self._unbalanced.add(key)
+                entry = _Entry(account, *key, "", 0, 0)
+                self._breach(BreachKind.NO_BALANCE, now, "", entry)
+
+    def open_count(self, request_class: str, namespace: str) -> int:
+        """Requests that stand open, counted from the entries."""
+        key = request_class, namespace
+        return sum((e.request_class, e.namespace) == key for e in self._entries.values())
+
+    def acknowledge(self, number: int) -> int:
+        """Take note of all breaches up to this number; returns how many that were."""
+        kept = [breach for breach in self.breaches if breach.number > number]
+        noted, self.breaches = len(self.breaches) - len(kept), kept
+        return noted
+
+    def _breach(self, kind: BreachKind, now: int, request: str, entry: _Entry | None, what: str = "") -> None:
+        self.breach_count += 1
+        path = entry.path if entry is not None else ""
+        breach = Breach(
+            number=self.breach_count,
+            kind=kind,
+            at=now,
+            request=request,
+            request_class=entry.request_class if entry is not None else "",
+            namespace=entry.namespace if entry is not None else "",
+            path=f"{path}: {what}" if path and what else path or what,
+        )
+        if len(self.breaches) < MOST_BREACHES:
+            self.breaches.append(breach)
+        if self._told is not None:
+            self._told(breach)
+
+    # Export
+
+    def figures(self) -> list[dict[str, Any]]:
+        """Every account in plain values, in one order; accounts in which nothing ever stood are left out."""
+        counts = Counter((e.request_class, e.namespace) for e in self._entries.values())
+        return [
+            {
+                "class": name,
+                "namespace": namespace,
+                "taken": account.taken,
+                "served": account.served_in_aim + account.served_late,
+                "served_in_aim": account.served_in_aim,
+                "served_late": account.served_late,
+                "refused": sum(account.refused.values()),
+                "refused_by_reason": dict(sorted(account.refused.items())),
+                "failed": sum(account.failed.values()),
+                "failed_by_reason": dict(sorted(account.failed.items())),
+                "gone": account.gone,
+                "open": counts[name, namespace],
+                "attempts": dict(sorted(account.attempts.items())),
+                "origin_fetches": account.fetches,
+                "bytes_taken": account.bytes_taken,
+                "bytes_served": account.bytes_served,
+                "latency_us": [
+                    [*bucket_bounds(number), count] for number, count in sorted(account.latency.items())
+                ],
+            }
+            for (name, namespace), account in sorted(self.accounts.items())
+            if account.taken
+        ]
--- a/pebblepass/rehearsal/front.py
+++ b/pebblepass/rehearsal/front.py
@@ -115,7 +115,7 @@
         self._id = f"{ask.number:010x}{asking.tries:06x}"
         self._begun = front.loop.time()
         self._patience = patience
-        self._given_up = self._was_taken = False
+        self._given_up = self._was_taken = self._leaving = False
         front.open += 1
         front.count.tried(ask, self._router)
         self._timers = [
@@ -157,18 +157,17 @@
         self._asking.came_to_nothing(harmless=False)
 
     def _stop_listening(self) -> None:
-        self._request.leave()
+        self._request.drop()
         if self._was_taken:
             self._lost("no answer in its time")
         else:
             self._end("unreached")
 
     def _leave(self) -> None:
-        self._request.leave()
-        if self._was_taken:
-            self._front.referee.left(self._id, self._front.loop.time())
-        self._asking.over = True
-        self._end("gone")
+        """Go away; an answer that was on its way when the router could not know still counts as one."""
+        self._asking.over = self._leaving = True
+        if not self._request.leave():
+            self._end("gone" if self._was_taken else "unreached")
 
     def _lost(self, how: str) -> None:
         """Nothing final has come: the router's fault, unless it was ended while it held the request."""
@@ -182,7 +181,10 @@
 
     def _answered(self, answer: Answer, back_ms: int) -> None:
         referee, now = self._front.referee, self._front.loop.time()
-        if answer is Answer.UNREACHED:
+        if self._leaving and answer in (Answer.CLOSED, Answer.CUT):
+            referee.left(self._id, now)
+            self._end("gone")
+        elif answer is Answer.UNREACHED:
             self._end("unreached")
         elif answer is Answer.CLOSED and not referee.was_sent(self._id) and not self._request.fresh:
             # PROTOCOL: a close that crosses a request on a kept connection; it goes out once more.
--- a/pebblepass/standins/clients.py
+++ b/pebblepass/standins/clients.py
@@ -52,8 +52,19 @@
             self.over = True
             self.done(answer, back_ms)
 
-    def leave(self) -> None:
-        """The client goes away: it closes its connection and is told of nothing more."""
+    def leave(self) -> bool:
+        """The client goes away: it ends its sending, and takes only what is already on its way to it.
+
+        Returns whether the request was written; one that was not is over.
+        """
+        if self.line is None:
+            self.over = True
+            return False
+        self.line.end_sending()
+        return True
+
+    def drop(self) -> None:
+        """The client closes its connection at once, and is told of nothing more."""
         self.over = True
         if self.line is not None:
             self.line.close()
@@ -186,6 +197,12 @@
         if self._request is not None:
             self._end(Answer.CUT if self._begun else Answer.CLOSED)
 
+    def end_sending(self) -> None:
+        """Close this end's half; what the router has written still arrives."""
+        if self.usable:
+            assert self.transport is not None
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close it."""
         if self.transport is not None:
