Tell of breaches at once, export the ledger, and carry it over a planned restart

Need: a breach that is only logged is seen too late, and figures that a restart forgets can't explain a morning.

The operator's file has [figures].

--- a/pebblepass/figures/ledger.py
+++ b/pebblepass/figures/ledger.py
@@ -223,6 +223,29 @@
         self._overdue.discard(request)
         return entry
 
+    def carry(self, rows: Iterable[dict[str, Any]]) -> None:
+        """Open with a predecessor's closing balance, in the form of `figures`.
+
+        An account that the settings don't know any longer goes to the other namespaces' account of its class;
+        one of a class that is gone is left out.
+        """
+        for row in rows:
+            if row["class"] not in self._aims:
+                continue
+            account = self._entry(row["class"], row["namespace"], 0, 0, "").account
+            account.taken += row["taken"]
+            account.served_in_aim += row["served_in_aim"]
+            account.served_late += row["served_late"]
+            account.gone += row["gone"]
+            account.fetches += row["origin_fetches"]
+            account.bytes_taken += row["bytes_taken"]
+            account.bytes_served += row["bytes_served"]
+            account.refused.update(row["refused_by_reason"])
+            account.failed.update(row["failed_by_reason"])
+            account.attempts.update(row["attempts"])
+            for least, _, count in row["latency_us"]:
+                account.latency[bucket(least * 1000)] += count
+
     # Checks
 
     def audit(self, now: int, slack: int, open_requests: Collection[str] | None = None) -> None:
--- /dev/null
+++ b/pebblepass/figures/service.py
@@ -0,0 +1,169 @@
+"""The ledger at work in a running router: audits, telling of breaches, export, snapshots."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Collection
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import orjson
+
+from pebblepass.decisions.interface import Settings
+from pebblepass.figures import snapshot
+from pebblepass.figures.ledger import Breach, Ledger
+from pebblepass.figures.listener import FiguresListener, Pages
+from pebblepass.figures.webhook import Webhook
+from pebblepass.operator import FiguresSection
+from pebblepass.wire.address import Address, parse_address
+
+AUDIT_S = 0.05  # breaches are told within 0.1 s
+SLACK_NS = 120_000_000  # after its deadline in which a request may still get its answer
+
+log = logging.getLogger("pebblepass")
+
+
+def make_ledger(settings: Settings, told: Callable[[Breach], None] | None = None) -> Ledger:
+    """A ledger with the settings' classes and namespaces."""
+    aims = {cls.name: cls.aim for cls in settings.classes}
+    return Ledger(aims, (tenant.name for tenant in settings.tenants), told)
+
+
+class FiguresService:
+    """What surrounds the ledger; nothing of it stands in the way of a request."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        section: FiguresSection,
+        router: str,
+        settings: Settings,
+        unix_ns: Callable[[], int],
+        fresh_epoch: str,
+    ) -> None:
+        """Open the ledger, with the closing balance of a predecessor where there is one.
+
+        Raises SnapshotError where a snapshot lies there that can't be used, ValueError on an address.
+        """
+        self._loop, self._section, self._router = loop, section, router
+        self._unix_ns = unix_ns
+        self._file = Path(section.directory) / f"{router}.figures.json" if section.directory else None
+        self.ledger = make_ledger(settings, self._breached)
+        self.epoch, self.unknown = fresh_epoch, 0
+        if self._file is not None:
+            try:
+                opening = snapshot.opening(self._file, router, fresh_epoch)
+            except snapshot.SnapshotError as error:
+                raise snapshot.SnapshotError(f"{self._file}: {error}") from None
+            self.epoch, self.unknown = opening.epoch, opening.unknown
+            self.ledger.carry(opening.rows)
+        self._address = parse_address("figures.listen", section.listen) if section.listen else None
+        self._listener = FiguresListener(
+            loop, Pages(self._figures, self._metrics, self.ledger.acknowledge, self._pending)
+        )
+        self._webhook = _webhook(loop, section.webhook) if section.webhook else None
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._open: Callable[[], Collection[str]] = tuple
+        self._now: Callable[[], int] = lambda: 0
+
+    async def start(
+        self, now: Callable[[], int], open_requests: Callable[[], Collection[str]]
+    ) -> Address | None:
+        """Begin; `open_requests` gives the ids that are owed an answer. Raises OSError on the address."""
+        self._now, self._open = now, open_requests
+        bound = await self._listener.listen(self._address) if self._address is not None else None
+        self._audit()
+        if self._file is not None:
+            self._write_regularly()
+        return bound
+
+    def stop(self, closing: bool) -> None:
+        """End; `closing`: in good order, so that a successor can go on with these figures."""
+        for timer in self._timers.values():
+            timer.cancel()
+        if self._file is not None:
+            self._write(closing)
+        if self._webhook is not None:
+            self._webhook.close()
+        self._listener.close()
+
+    def line(self) -> str:
+        """All in one line, for who can't have a listener."""
+        total: dict[str, int] = {}
+        for row in self.ledger.figures():
+            for name in ("taken", "served", "refused", "failed", "gone", "open"):
+                total[name] = total.get(name, 0) + row[name]
+        told = " ".join(f"{name} {count}" for name, count in total.items())
+        return f"figures: {told or 'nothing taken'}; breaches {self.ledger.breach_count}"
+
+    # Checks
+
+    def _audit(self) -> None:
+        self._timers["audit"] = self._loop.call_later(AUDIT_S, self._audit)
+        self.ledger.audit(self._now(), SLACK_NS, self._open())
+
+    def _breached(self, breach: Breach) -> None:
+        log.error("breach %d: %s: %s %s", breach.number, breach.kind.value, breach.request, breach.path)
+        self._listener.publish(_event(breach))
+        if self._webhook is not None:
+            self._webhook.send(orjson.dumps({"router": self._router, **breach.as_dict()}))
+
+    # Export
+
+    def document(self) -> dict[str, Any]:
+        """Everything, in plain values."""
+        return {
+            "router": self._router,
+            "epoch": self.epoch,
+            "unix_ns": self._unix_ns(),
+            "unknown": self.unknown,
+            "breaches": self.ledger.breach_count,
+            "unacknowledged": [breach.as_dict() for breach in self.ledger.breaches],
+            "figures": self.ledger.figures(),
+        }
+
+    def _figures(self) -> bytes:
+        return orjson.dumps(self.document(), option=orjson.OPT_APPEND_NEWLINE)
+
+    def _metrics(self) -> tuple[str, bytes]:
+        from pebblepass.figures.metrics import CONTENT_TYPE, exposition  # only who scrapes pays for it
+
+        return CONTENT_TYPE, exposition(self.ledger)
+
+    def _pending(self) -> list[bytes]:
+        return [_event(breach) for breach in self.ledger.breaches]
+
+    # Snapshots
+
+    def _write_regularly(self) -> None:
+        due = self._section.snapshot_every_s
+        self._timers["snapshot"] = self._loop.call_later(due, self._write_regularly)
+        self._write(closing=False)
+
+    def _write(self, closing: bool) -> None:
+        assert self._file is not None
+        data = snapshot.encode(
+            self._router,
+            self.epoch,
+            self._unix_ns(),
+            closing,
+            self.ledger.breach_count,
+            self.ledger.figures(),
+        )
+        try:
+            snapshot.write(self._file, data)
+        except OSError as error:
+            log.error("%s: %s", self._file, error.strerror)
+
+
+def _event(breach: Breach) -> bytes:
+    return b"id: %d\nevent: breach\ndata: %b\n\n" % (breach.number, orjson.dumps(breach.as_dict()))
+
+
+def _webhook(loop: asyncio.AbstractEventLoop, url: str) -> Webhook:
+    parts = urlsplit(url)
+    if parts.scheme != "http":
+        raise ValueError(f"figures.webhook: expected http://HOST:PORT/PATH, got {url!r}")
+    return Webhook(loop, parse_address("figures.webhook", parts.netloc), parts.path or "/")
--- /dev/null
+++ b/pebblepass/figures/snapshot.py
@@ -0,0 +1,127 @@
+"""Snapshots of the ledger as files: written whole or not at all, and read with mistrust."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+FORMAT, VERSION = "pebblepass-figures", 1
+
+
+class SnapshotError(ValueError):
+    """A snapshot can't be used; the text is one plain line."""
+
+
+class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One account, as `Ledger.figures` gives it."""
+
+    name: str = msgspec.field(name="class")
+    namespace: str
+    taken: int
+    served: int
+    served_in_aim: int
+    served_late: int
+    refused: int
+    refused_by_reason: dict[str, int]
+    failed: int
+    failed_by_reason: dict[str, int]
+    gone: int
+    open: int
+    attempts: dict[str, int]
+    origin_fetches: int
+    bytes_taken: int
+    bytes_served: int
+    latency_us: list[tuple[int, int, int]]
+
+
+class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole snapshot."""
+
+    format: str
+    version: int
+    router: str
+    epoch: str
+    """One run of counts without a gap; a planned restart goes on in it, a killed router begins another."""
+    written_unix_ns: int
+    closing: bool
+    """Written at a planned end, with nothing open: a successor may open with it."""
+    breaches: int
+    figures: list[Row]
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """With what a router begins."""
+
+    epoch: str
+    rows: list[dict[str, Any]]
+    unknown: int
+    """Requests that the last snapshot of a killed predecessor left open: what became of them nobody knows."""
+
+
+def encode(
+    router: str, epoch: str, unix_ns: int, closing: bool, breaches: int, figures: list[dict[str, Any]]
+) -> bytes:
+    """A snapshot as it is written."""
+    return orjson.dumps(
+        {
+            "format": FORMAT,
+            "version": VERSION,
+            "router": router,
+            "epoch": epoch,
+            "written_unix_ns": unix_ns,
+            "closing": closing,
+            "breaches": breaches,
+            "figures": figures,
+        },
+        option=orjson.OPT_APPEND_NEWLINE,
+    )
+
+
+def decode(data: bytes, router: str) -> Snapshot:
+    """Read a snapshot of this router; raises SnapshotError where it is broken or another's."""
+    try:
+        snapshot = msgspec.json.decode(data, type=Snapshot)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SnapshotError(f"half-written, or no snapshot: {' '.join(str(error).split())}") from None
+    if snapshot.format != FORMAT or snapshot.version != VERSION:
+        raise SnapshotError(f"of another form: {snapshot.format} {snapshot.version}")
+    if snapshot.router != router:
+        raise SnapshotError(f"of another router: {snapshot.router}")
+    for row in snapshot.figures:
+        if row.taken != row.served + row.refused + row.failed + row.gone + row.open:
+            raise SnapshotError(f"does not add up: {row.name} in {row.namespace}")
+    return snapshot
+
+
+def opening(path: Path, router: str, fresh_epoch: str) -> Opening:
+    """What a router opens with; a closing balance is used once, and then no longer closes.
+
+    Raises SnapshotError where the file there can't be used.
+    """
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return Opening(fresh_epoch, [], 0)
+    except OSError as error:
+        raise SnapshotError(str(error.strerror)) from None
+    snapshot = decode(data, router)
+    left_open = sum(row.open for row in snapshot.figures)
+    if not snapshot.closing or left_open:
+        return Opening(fresh_epoch, [], left_open)
+    return Opening(snapshot.epoch, [msgspec.to_builtins(row) for row in snapshot.figures], 0)
+
+
+def write(path: Path, data: bytes) -> None:
+    """Write a file so that a reader sees the old or the new one, never a part; raises OSError."""
+    fresh = path.with_name(path.name + ".new")
+    with fresh.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    fresh.replace(path)
--- a/pebblepass/operator/__init__.py
+++ b/pebblepass/operator/__init__.py
@@ -4,9 +4,10 @@
 """
 
 from pebblepass.operator.checked import FileError, decode_toml, describe, read_toml
-from pebblepass.operator.schema import LogSection, Operator, load_operator
+from pebblepass.operator.schema import FiguresSection, LogSection, Operator, load_operator
 
 __all__ = [
+    "FiguresSection",
     "FileError",
     "LogSection",
     "Operator",
--- a/pebblepass/operator/schema.py
+++ b/pebblepass/operator/schema.py
@@ -23,10 +23,30 @@
     ] = 5
 
 
+class FiguresSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[figures]`: the ledger. Without this section the router keeps none."""
+
+    listen: Annotated[
+        str,
+        msgspec.Meta(description="HOST:PORT for /figures, /metrics and /breaches; empty: no listener"),
+    ] = ""
+    directory: Annotated[
+        str,
+        msgspec.Meta(description="a folder that outlives the router, for its snapshots; empty: none"),
+    ] = ""
+    snapshot_every_s: Annotated[
+        float, msgspec.Meta(ge=0.1, le=3600, description="seconds from one snapshot to the next")
+    ] = 5.0
+    webhook: Annotated[
+        str, msgspec.Meta(description="http://HOST:PORT/PATH that each breach is posted to; empty: none")
+    ] = ""
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file; a section that is left out leaves its subsystem as it is by default."""
 
     log: Annotated[LogSection, msgspec.Meta(description="the log")] = LogSection()
+    figures: Annotated[FiguresSection | None, msgspec.Meta(description="the ledger")] = None
 
 
 def load_operator(path: str | Path) -> Operator:
