Add a fleet's figures up: check, collect and report, with the balance line

Need: one router's counts don't explain a morning; routers restart in between.

Change: pebblepass figures check, collect and report; cuts of many routers, what passed between them within an epoch, what a killed router left open as unknown, a table as text, CSV and a page with a plot, and whether each line closes.

--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -20,7 +20,21 @@
     sys.exit(EXIT_USAGE)
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class _Commands(click.Group):
+    """Loads `figures` when it is called: the others need none of what it does."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "figures"])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name == "figures":
+            from pebblepass.figures.commands import figures
+
+            return figures
+        return super().get_command(ctx, cmd_name)
+
+
+@click.group(cls=_Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="pebblepass")
 def main() -> None:
     """A router between package clients and cache servers, and the kit to rehearse with it."""
--- /dev/null
+++ b/pebblepass/figures/fleet.py
@@ -0,0 +1,176 @@
+"""The figures of many routers over a time: cuts, what passed between them, and whether it closes. No I/O.
+
+A cut holds the documents (`/figures`, or snapshots) of all routers at one moment. Between two cuts of one
+epoch what passed is the difference; where a router has begun another epoch its counts began at zero, and what
+it had left open at the cut before is unknown: never zero, and never guessed.
+"""
+
+from __future__ import annotations
+
+import csv
+import io
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, fields
+from html import escape
+from itertools import pairwise
+
+import msgspec
+
+from pebblepass.figures.snapshot import Row
+
+FLOWS = ("taken", "served_in_aim", "served_late", "refused", "failed", "gone")
+
+
+class FigureDocument(msgspec.Struct, frozen=True):
+    """What one router told at a cut; keys that are not needed here are passed over."""
+
+    router: str
+    epoch: str
+    figures: list[Row]
+    breaches: int = 0
+
+
+class Cut(msgspec.Struct, frozen=True):
+    """All routers at one moment."""
+
+    unix_ns: int
+    routers: list[FigureDocument]
+    unreached: list[str] = []
+    """Those that did not answer."""
+
+
+@dataclass(slots=True)
+class Line:
+    """One namespace and class over the time: what was open, what passed, and what is open."""
+
+    namespace: str
+    request_class: str
+    open_before: int = 0
+    taken: int = 0
+    served_in_aim: int = 0
+    served_late: int = 0
+    refused: int = 0
+    failed: int = 0
+    gone: int = 0
+    unknown: int = 0
+    open_after: int = 0
+
+    @property
+    def closes(self) -> bool:
+        """Whether all that was open or taken is accounted for."""
+        went = self.served_in_aim + self.served_late + self.refused + self.failed + self.gone + self.unknown
+        return self.open_before + self.taken == went + self.open_after
+
+
+NUMBERS = tuple(field.name for field in fields(Line) if field.name not in ("namespace", "request_class"))
+
+
+def read_cuts(lines: Iterable[bytes], begin_ns: int = 0, end_ns: int | None = None) -> list[Cut]:
+    """The cuts of a file, one JSON value a line, within the time; raises ValueError in one plain line."""
+    cuts = []
+    for number, line in enumerate(lines, 1):
+        try:
+            cut = msgspec.json.decode(line, type=Cut)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ValueError(f"line {number}: {' '.join(str(error).split())}") from None
+        if begin_ns <= cut.unix_ns and (end_ns is None or cut.unix_ns <= end_ns):
+            cuts.append(cut)
+    return sorted(cuts, key=lambda cut: cut.unix_ns)
+
+
+def add_up(cuts: Sequence[Cut]) -> list[Line]:
+    """Add the routers up, line by line; the last line is the total."""
+    lines: dict[tuple[str, str], Line] = {}
+    last: dict[str, FigureDocument] = {}
+    for cut in cuts:
+        for document in cut.routers:
+            _pass(lines, last.get(document.router), document)
+            last[document.router] = document
+    for document in last.values():
+        for row in document.figures:
+            _line(lines, row).open_after += row.open
+    total = Line("all", "all")
+    for line in lines.values():
+        for name in NUMBERS:
+            setattr(total, name, getattr(total, name) + getattr(line, name))
+    return [*(lines[key] for key in sorted(lines)), total]
+
+
+def _line(lines: dict[tuple[str, str], Line], row: Row) -> Line:
+    return lines.setdefault((row.namespace, row.name), Line(row.namespace, row.name))
+
+
+def _pass(
+    lines: dict[tuple[str, str], Line], before: FigureDocument | None, document: FigureDocument
+) -> None:
+    """Add what passed at one router from one cut to the next."""
+    held: dict[tuple[str, str], Row] = {}
+    if before is None:
+        for row in document.figures:
+            _line(lines, row).open_before += row.open
+        return
+    if before.epoch == document.epoch:
+        held = {(row.namespace, row.name): row for row in before.figures}
+    else:
+        for row in before.figures:
+            _line(lines, row).unknown += row.open
+    for row in document.figures:
+        line, earlier = _line(lines, row), held.get((row.namespace, row.name))
+        for name in FLOWS:
+            passed = getattr(row, name) - (getattr(earlier, name) if earlier is not None else 0)
+            setattr(line, name, getattr(line, name) + passed)
+
+
+def over_time(cuts: Sequence[Cut]) -> dict[str, list[tuple[int, int]]]:
+    """What was taken from each cut to the next, by namespace: the cut's time and the count."""
+    series: dict[str, list[tuple[int, int]]] = defaultdict(list)
+    for one, two in pairwise(cuts):
+        taken: dict[str, int] = defaultdict(int)
+        for line in add_up((one, two))[:-1]:
+            taken[line.namespace] += line.taken
+        for namespace, count in taken.items():
+            series[namespace].append((two.unix_ns, count))
+    return dict(series)
+
+
+HEADS = ("namespace", "class", *(name.replace("_", " ") for name in NUMBERS), "closes")
+
+
+def cells(line: Line) -> tuple[str, ...]:
+    """A line as it is shown."""
+    numbers = (str(getattr(line, name)) for name in NUMBERS)
+    return line.namespace, line.request_class, *numbers, "yes" if line.closes else "NO"
+
+
+def as_csv(lines: Sequence[Line]) -> str:
+    """The table as CSV (RFC 4180)."""
+    text = io.StringIO()
+    csv.writer(text).writerows([HEADS, *(cells(line) for line in lines)])
+    return text.getvalue()
+
+
+def as_html(lines: Sequence[Line], series: dict[str, list[tuple[int, int]]], title: str) -> str:
+    """The table as a page, with what was taken over the time as a plot."""
+    heads = "".join(f"<th>{escape(head)}</th>" for head in HEADS)
+    rows = "".join(
+        "<tr>" + "".join(f"<td>{escape(cell)}</td>" for cell in cells(line)) + "</tr>" for line in lines
+    )
+    times = [at for row in series.values() for at, _ in row]
+    most = max((count for row in series.values() for _, count in row), default=1) or 1
+    begin, span = min(times, default=0), max(max(times, default=1) - min(times, default=0), 1)
+    colours = ("#1f5fa8", "#c2571a", "#2c8a4b", "#8a3fa0")
+    plots = "".join(
+        f'<polyline fill="none" stroke="{colours[number % len(colours)]}" points="'
+        + " ".join(f"{(at - begin) / span * 800:.1f},{160 - count / most * 150:.1f}" for at, count in row)
+        + f'"><title>{escape(namespace)}</title></polyline>'
+        f'<text x="{8 + 120 * number}" y="176" fill="{colours[number % len(colours)]}">'
+        f"{escape(namespace)}</text>"
+        for number, (namespace, row) in enumerate(sorted(series.items()))
+    )
+    style = "body{font:15px system-ui;margin:2em}td,th{padding:2px 10px;text-align:right}"
+    return (
+        f"<!doctype html><html lang='en'><head><meta charset='utf-8'><title>{escape(title)}</title>"
+        f"<style>{style}</style></head><body><h1>{escape(title)}</h1><table><tr>{heads}</tr>{rows}</table>"
+        f'<h2>Taken over time</h2><svg viewBox="0 0 810 180" width="100%">{plots}</svg></body></html>\n'
+    )
