Account for every request in the router, and hold its figures against the kit's

Need: the ledger existed, but no router kept one; after a bad morning nobody could say where a request went.

Change: with [figures] in the operator's file the host enters each request it takes and moves it once; what the decisions give up carries a reason; requests turned away at a limit, duplicates, values cut off, clients that left and a router that ends each have their account. Without the section the request path has one branch more a move and loads nothing. Rehearsals run the same service and compare its accounts with the kit's count for each router, namespace and class.

--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -8,13 +8,19 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from pebblepass.daemon.config import Config, ConfigError, load_config
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.log import Limit, make_logger
 from pebblepass.daemon.loop import DaemonLoop
 
+if TYPE_CHECKING:
+    from pebblepass.figures.service import FiguresService
+    from pebblepass.operator import FiguresSection
+
 OPERATOR_VARIABLE = "PEBBLEPASS_OPERATOR"
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
 
@@ -26,6 +32,8 @@
 
     def __init__(self, environ: Mapping[str, str], limit: Limit) -> None:
         self._path, self._limit = environ.get(OPERATOR_VARIABLE), limit
+        self.figures: FiguresSection | None = None
+        """What the ledger is told; read at the start only."""
 
     def apply(self) -> None:
         """Read the file and take it over, whole or not at all; raises ValueError in one plain line."""
@@ -35,11 +43,12 @@
         from pebblepass.operator import FileError, load_operator
 
         try:
-            section = load_operator(self._path).log
+            operator = load_operator(self._path)
         except FileError as error:
             raise ValueError(str(error)) from None
-        log.setLevel(section.level.upper())
-        self._limit.lines_a_second = section.lines_per_second
+        log.setLevel(operator.log.level.upper())
+        self._limit.lines_a_second = operator.log.lines_per_second
+        self.figures = operator.figures
 
     def reload(self) -> None:
         """Read the file again; one that can't be used changes nothing."""
@@ -49,7 +58,15 @@
             log.error("the operator's file stays as it was: %s", error)
 
 
-async def serve(config: Config, operator: OperatorFile) -> None:
+def open_figures(loop: asyncio.AbstractEventLoop, config: Config, section: FiguresSection) -> FiguresService:
+    """Open the ledger; raises ValueError in one plain line where it can't be opened."""
+    from pebblepass.figures.service import FiguresService
+
+    epoch = os.urandom(8).hex()
+    return FiguresService(loop, section, config.name, config.settings, time.time_ns, epoch)
+
+
+async def serve(config: Config, operator: OperatorFile, figures: FiguresService | None) -> None:
     """Run until SIGTERM, and then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
@@ -66,10 +83,16 @@
     loop.add_signal_handler(signal.SIGTERM, terminated.set)
     # Danger: where nobody takes SIGHUP, it ends the process.
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if figures is not None:
+        daemon.host.ledger = figures.ledger
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", figures.line()))
+        await figures.start(daemon.host.now, daemon.host.open_requests)
     await daemon.start()
     await terminated.wait()
     await daemon.drain()
     daemon.stop()
+    if figures is not None:
+        figures.stop(closing=True)
     await asyncio.sleep(0)
 
 
@@ -80,13 +103,16 @@
             config = load_config(os.environ)
             operator = OperatorFile(os.environ, make_logger(config.name, runner.get_loop().time))
             operator.apply()
+            figures = None
+            if operator.figures is not None:
+                figures = open_figures(runner.get_loop(), config, operator.figures)
         except (ConfigError, ValueError) as error:
             print(f"pebblepass: {error}", file=sys.stderr)
             return 2
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         try:
-            runner.run(serve(config, operator))
+            runner.run(serve(config, operator, figures))
         except OSError as error:
             print(f"pebblepass: {error}", file=sys.stderr)
             return 1
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -34,6 +34,9 @@
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
 
+    def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
+        """A request was answered at a limit, and never taken further."""
+
 
 class Budget:
     """Bytes for long commands: they are set aside before the command is read, so that all can be finished."""
@@ -216,6 +219,7 @@
         if self.refusing:
             self._last = True
             reply.send(b"-BUSY\r\n")
+            self.server.host.turned_away(command, refused="connections")
             reply.forgotten()
             return
         self.server.host.request_arrived(command, reply)
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -6,6 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 from urllib.parse import quote
 
 from pebblepass.daemon.caches import CacheConnection
@@ -41,10 +42,14 @@
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import Command
 
+if TYPE_CHECKING:
+    from pebblepass.figures.ledger import Ledger
+
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
 FAILED = b"-ERR failed\r\n"
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
+PATH = "RESP2 client"
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
 log = logging.getLogger("pebblepass")
@@ -53,12 +58,12 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("attempts", "closed", "command", "deadline", "id", "out", "reply", "streaming")
+    __slots__ = ("accounted", "attempts", "closed", "command", "deadline", "id", "out", "reply", "streaming")
 
     def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
         self.attempts = self.out = 0
-        self.closed = self.streaming = False
+        self.closed = self.streaming = self.accounted = False
 
 
 class Attempt(Exchange):
@@ -68,7 +73,7 @@
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
         self._sent_at = host.now()
-        self._latency = 0  # until a long value's first bytes
+        self._latency = self._length = 0  # until a long value's first bytes; that value's length
         self._source: ValueSource | None = None
         self._came_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -103,7 +108,7 @@
         if self._timer is not None:
             self._timer.cancel()
         request.streaming = request.closed = True
-        self._source = source
+        self._source, self._length = source, length
         self._came_at = self._host.loop.time()
         self._timer = self._host.loop.call_later(STALL_S, self._check_stall)
         request.reply.start(b"$%d\r\n" % length, self)
@@ -147,11 +152,18 @@
         """The first OK is the client's answer; the module is told of every end."""
         if self._timer is not None:
             self._timer.cancel()
-        request, reply = self._request, self._request.reply
+        request, reply, ledger = self._request, self._request.reply, self._host.ledger
         request.out -= 1
         if self._source is not None:
             self._source = None
             request.streaming = False
+            # Accounted for first: to cut the client off ends its connection, as if it had left by itself.
+            if ledger is not None and not request.accounted:
+                if outcome is Outcome.OK:
+                    ledger.serve(request.id, self._host.now(), self._length)
+                else:
+                    ledger.fail(request.id, self._host.now(), "cut off")
+            request.accounted = True
             if outcome is Outcome.OK:
                 reply.send(b"\r\n")
             else:
@@ -159,6 +171,10 @@
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.send(resp.bulk(value))
+            if ledger is not None:
+                ledger.serve(request.id, self._host.now(), len(value))
+        if ledger is not None:
+            ledger.attempt(request.id, outcome.value, self._to_origin)
         latency = self._latency or self._host.now() - self._sent_at
         load, stale = self._host.load(report), self.stale and outcome is Outcome.RESET
         event = AttemptEnded(
@@ -211,6 +227,8 @@
     ) -> None:
         self.loop, self.settings = loop, settings
         self.ready = False
+        self.ledger: Ledger | None = None
+        """Where every request is accounted for, if the operator wants that; whoever owns it sets it."""
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
         self._router = Router(settings, seed)
@@ -225,7 +243,15 @@
     @property
     def owed(self) -> int:
         """Requests that have no final answer yet, or one that is still being passed on."""
-        return sum(1 for request in self._requests.values() if not request.closed or request.streaming)
+        return len(self.open_requests())
+
+    def open_requests(self) -> dict[str, None]:
+        """The ids of the requests that are owed a final answer, or the rest of one, the oldest first."""
+        return {
+            request.id: None
+            for request in self._requests.values()
+            if not request.closed or (request.streaming and not request.accounted)
+        }
 
     def now(self) -> int:
         """The loop's time in nanoseconds."""
@@ -250,13 +276,19 @@
         elif request_id in self._requests:
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.send(b"-ERR duplicate id\r\n")
+            self.turned_away(command, failed="duplicate id")
         elif len(self._requests) >= self._max_open:
             reply.send(b"-BUSY\r\n")
+            self.turned_away(command, refused="open requests")
         else:
-            deadline = self.now() + command.timeout_ms * NS_PER_MS
+            now = self.now()
+            deadline = now + command.timeout_ms * NS_PER_MS
             request = OpenRequest(request_id, command, reply, deadline)
             reply.request = request
             self._requests[request_id] = request
+            if self.ledger is not None:
+                tenant = fields.get("t")
+                self.ledger.take(request_id, fields["c"], tenant, now, deadline, command.size, PATH)
             self.tell(
                 RequestArrived(
                     request=request_id,
@@ -271,27 +303,49 @@
             return
         reply.forgotten()
 
+    def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
+        """Account for a request that the module never hears of."""
+        cls = command.fields["c"]
+        if self.ledger is not None and cls in self._classes:
+            tenant = command.fields.get("t")
+            self.ledger.turn_away(cls, tenant, self.now(), command.size, PATH, refused, failed)
+
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
         request = reply.request
         if not isinstance(request, OpenRequest):
             return
-        request.closed = True
+        if self.ledger is not None and not request.accounted:
+            self.ledger.leave(request.id, self.now())
+        request.closed = request.accounted = True
         if isinstance(reply.source, Attempt):
             reply.source.client_left()
         self.settle(request)
         self.tell(ClientGone(request.id))
 
+    def abandon(self) -> None:
+        """The router ends: what is still owed an answer has failed, whatever becomes of its connection."""
+        if self.ledger is not None:
+            for request_id in self.open_requests():
+                self.ledger.fail(request_id, self.now(), "router ended")
+        for request in self._requests.values():
+            request.closed = request.accounted = True
+
     def settle(self, request: OpenRequest) -> None:
         """Forget a request that is answered and has nothing out."""
         if request.closed and not request.out and request.id in self._requests:
             del self._requests[request.id]
             request.reply.forgotten()
 
-    def _answer(self, request_id: str, data: bytes) -> None:
+    def _answer(self, request_id: str, data: bytes, refused: str = "", failed: str = "") -> None:
         request = self._requests.get(request_id)
         if request is not None and not request.closed:
             request.closed = True
+            if self.ledger is not None:
+                if refused:
+                    self.ledger.refuse(request_id, self.now(), refused)
+                else:
+                    self.ledger.fail(request_id, self.now(), failed)
             request.reply.send(data)
             self.settle(request)
 
@@ -354,7 +408,7 @@
         if isinstance(event, RequestArrived | AttemptEnded):
             request = self._requests.get(event.request)
             if request is not None and not request.out:
-                self._answer(event.request, FAILED)
+                self._answer(event.request, FAILED, failed="fault")
 
     def _carry_out(self, action: Action) -> None:
         match action:
@@ -364,9 +418,9 @@
                 self._set_timer(self.now() + action.delay, action.token)
             case Refuse():
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
-                self._answer(action.request, b"-BUSY%b\r\n" % wait)
+                self._answer(action.request, b"-BUSY%b\r\n" % wait, refused=action.reason.value)
             case Fail():
-                self._answer(action.request, FAILED)
+                self._answer(action.request, FAILED, failed=action.reason.value)
             case Subscribe():
                 self.subscribe()
             case Probe():
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 NS_PER_S = 1_000_000_000
@@ -235,12 +235,24 @@
     timeout: int = 0
 
 
+class Reason(Enum):
+    """Why a request was given up; for the account of it only."""
+
+    SHED = "shed"
+    LIMIT = "limit"
+    NO_SERVER = "no server"
+    TIME = "time"
+    ATTEMPTS = "attempts"
+    STORE = "store"
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: not done, and trying again does no harm."""
 
     request: str
     retry_after: int = 0
+    reason: Reason = field(default=Reason.ATTEMPTS, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,6 +260,7 @@
     """Final answer: failed. It promises nothing about the effect."""
 
     request: str
+    reason: Reason = field(default=Reason.ATTEMPTS, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -17,7 +17,7 @@
 from zlib import crc32
 
 from pebblepass.decisions import interface as api
-from pebblepass.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from pebblepass.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, Reason, ServerState
 
 SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
 DEPTH = 8
@@ -316,7 +316,7 @@
             return
         request = self._requests.get(token)
         if request and request.waiting and self._now >= request.deadline:
-            self._give_up(request)
+            self._give_up(request, Reason.TIME)
         elif request and request.waiting and request.write:
             self._fetch(request)
 
@@ -352,7 +352,7 @@
 
     def _route(self, request: Request) -> None:
         if not self._may_try(request):
-            self._give_up(request)
+            self._give_up(request, self._spent(request))
             return
         for node in self._candidates(request):
             if node in request.failed or not request.may_send(node, self._now):
@@ -363,7 +363,7 @@
                 self._send(request, node)
                 return
             if not node.down:
-                self._give_up(request)
+                self._give_up(request, Reason.SHED)
                 return
         self._missed(request)
 
@@ -388,7 +388,7 @@
         request.waiting = False
         origins = self._origins.rank(request.slot, self._now)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
-            self._give_up(request)
+            self._give_up(request, self._spent(request) if origins else Reason.NO_SERVER)
             return
         if request.write and origins[0].load >= self._width:
             self._held.append(request)
@@ -397,7 +397,7 @@
         if request.write:
             request.guard.count(self._now)
         elif not request.guard.admit(self._now):
-            self._give_up(request)
+            self._give_up(request, Reason.LIMIT)
             return
         if request.key is not None and not request.write:
             self._flights.setdefault(request.key, [])
@@ -477,7 +477,7 @@
         if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
             self._wait(request, pause)
         else:
-            self._give_up(request)
+            self._give_up(request, Reason.STORE)
 
     def _land(self, request: Request, stored: bool) -> None:
         """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
@@ -491,12 +491,15 @@
         request.waiting = True
         self._actions.append(api.SetTimer(delay, request.id))
 
-    def _give_up(self, request: Request) -> None:
+    def _spent(self, request: Request) -> Reason:
+        return Reason.TIME if self._now >= request.deadline else Reason.ATTEMPTS
+
+    def _give_up(self, request: Request, reason: Reason) -> None:
         if request.may_refuse():
             wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
-            self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
+            self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0, reason))
         else:
-            self._actions.append(api.Fail(request.id))
+            self._actions.append(api.Fail(request.id, reason))
         self._finish(request)
 
     def _finish(self, request: Request, stored: bool = False) -> None:
--- a/pebblepass/rehearsal/count.py
+++ b/pebblepass/rehearsal/count.py
@@ -38,6 +38,10 @@
             for cls in plan.scenario.classes
         }
         self.routers: dict[str, Counter[str]] = {router.id: Counter() for router in plan.routers}
+        self.accounts: dict[tuple[str, str, str], Counter[str]] = {
+            (router.id, *key): Counter() for router in plan.routers for key in self.tries
+        }
+        """By router, namespace and class; `unseen` are those among the failed that no router ever read."""
         self.served_after: dict[int, float] = {}
         """Seconds from an ask to its answer, by the ask's number."""
 
@@ -45,9 +49,13 @@
         """A try begins."""
         self.tries[ask.namespace, ask.request_class]["asked"] += 1
         self.routers[router]["asked"] += 1
+        self.accounts[router, ask.namespace, ask.request_class]["asked"] += 1
 
-    def ended(self, ask: Ask, router: str, outcome: str) -> None:
-        """A try ends in one of OUTCOMES."""
+    def ended(self, ask: Ask, router: str, outcome: str, unseen: bool = False) -> None:
+        """A try ends in one of OUTCOMES; `unseen`: its connection was closed before a router read it."""
+        account = self.accounts[router, ask.namespace, ask.request_class]
+        account[outcome] += 1
+        account["unseen"] += unseen
         self.tries[ask.namespace, ask.request_class][outcome] += 1
         self.routers[router][outcome] += 1
 
--- a/pebblepass/rehearsal/front.py
+++ b/pebblepass/rehearsal/front.py
@@ -145,11 +145,11 @@
         self._was_taken = True
         self._front.referee.taken(self._id, self._router, self._begun + self._patience)
 
-    def _end(self, outcome: str) -> None:
+    def _end(self, outcome: str, unseen: bool = False) -> None:
         for timer in self._timers:
             timer.cancel()
         self._front.open -= 1
-        self._front.count.ended(self._asking.ask, self._router, outcome)
+        self._front.count.ended(self._asking.ask, self._router, outcome, unseen)
 
     def _give_up(self) -> None:
         """The client's patience is over: it goes on with its next try, and only listens for this one."""
@@ -192,7 +192,7 @@
             return
         elif self._may_close(answer):
             referee.answered(self._id, now)
-            self._end("failed")
+            self._end("failed", unseen=answer is Answer.CLOSED)
         elif answer in (Answer.CLOSED, Answer.CUT):
             self._lost("the connection was closed without its answer")
         elif answer is Answer.WRONG:
--- a/pebblepass/rehearsal/report.py
+++ b/pebblepass/rehearsal/report.py
@@ -8,6 +8,7 @@
 
 from pebblepass.rehearsal.count import OUTCOMES, Count
 from pebblepass.rehearsal.plan import Plan
+from pebblepass.rehearsal.reconcile import differences
 from pebblepass.rehearsal.referee import Referee, Rule
 from pebblepass.rehearsal.world import World
 
@@ -51,6 +52,7 @@
     world: World,
     clock: str,
     events: list[tuple[float, str]],
+    figures: dict[str, list[dict[str, Any]] | None],
     crashes: list[str],
     interrupted: bool,
 ) -> dict[str, Any]:
@@ -97,6 +99,10 @@
             for rule, found in breaches.items()
         },
         "balance": [] if interrupted else count.balance(),
+        "figures": {
+            "compared": [name for name, rows in figures.items() if rows is not None],
+            "differences": [] if interrupted else differences(count, figures),
+        },
         "crashes": crashes,
         "fallen": referee.pushed,
         "events": [[at, what] for at, what in events],
@@ -134,6 +140,7 @@
         if not told["held"]
     ]
     lines += [f"does not add up: {line}" for line in report["balance"]]
+    lines += [f"figures differ: {line}" for line in report["figures"]["differences"]]
     return lines + [f"crashed: {line}" for line in report["crashes"]]
 
 
--- a/pebblepass/rehearsal/routers.py
+++ b/pebblepass/rehearsal/routers.py
@@ -16,6 +16,8 @@
 
 from pebblepass.daemon.config import read_config
 from pebblepass.daemon.daemon import Daemon
+from pebblepass.figures.service import FiguresService
+from pebblepass.operator import FiguresSection
 from pebblepass.wire.address import Address
 
 WATCH_S = 0.25
@@ -27,6 +29,9 @@
     peak_kb: int
     """The most memory seen; 0 where it has no process of its own."""
 
+    def figures(self) -> list[dict[str, Any]] | None:
+        """What its ledgers say, one after another; None where nothing can be known, as after a kill."""
+
     async def start(self, told: dict[str, Any]) -> None:
         """Start it with this configuration."""
 
@@ -56,23 +61,44 @@
     ) -> None:
         self._loop, self._unix_ns, self._make = loop, unix_ns, make
         self._daemon: Daemon | None = None
+        self._figures: list[FiguresService] = []  # one for each start
+        self._killed = False
 
     async def start(self, told: dict[str, Any]) -> None:
         """Start it."""
-        self._daemon = self._make(self._loop, read_config(told, {}), self._unix_ns)
+        config = read_config(told, {})
+        self._daemon = self._make(self._loop, config, self._unix_ns)
+        host, starts = self._daemon.host, len(self._figures)
+        figures = FiguresService(
+            self._loop, FiguresSection(), config.name, config.settings, self._unix_ns, f"start {starts}"
+        )
+        self._figures.append(figures)
+        host.ledger = figures.ledger
+        await figures.start(host.now, host.open_requests)
         await self._daemon.start()
 
     async def terminate(self) -> None:
         """Drain it, and stop it."""
         if self._daemon is not None:
             await self._daemon.drain()
-            await self.kill()
+            self._stop(self._daemon)
 
     async def kill(self) -> None:
-        """Stop it."""
+        """Stop it; what it knew is gone with it."""
         if self._daemon is not None:
-            self._daemon.stop()
-            self._daemon = None
+            self._killed = True
+            self._stop(self._daemon)
+
+    def _stop(self, daemon: Daemon) -> None:
+        daemon.stop()
+        self._figures[-1].stop(closing=True)
+        self._daemon = None
+
+    def figures(self) -> list[dict[str, Any]] | None:
+        """All its ledgers; None once it was killed."""
+        if self._killed:
+            return None
+        return [row for figures in self._figures for row in figures.ledger.figures()]
 
     def reload(self, discovery: Address) -> None:
         """Move its watch, as the reload of a file does."""
@@ -80,8 +106,9 @@
             self._daemon.move_discovery(discovery)
 
     def crash(self) -> str:
-        """In this process a fault is an exception that is logged."""
-        return ""
+        """A breach of its ledger; any other fault in this process is an exception that is logged."""
+        breaches = [breach for figures in self._figures for breach in figures.ledger.breaches]
+        return f"breach: {breaches[0].kind.value}: {breaches[0].request}" if breaches else ""
 
 
 class ProcessRouter:
@@ -97,6 +124,10 @@
         self._crash = ""
         self.peak_kb = 0
 
+    def figures(self) -> list[dict[str, Any]] | None:
+        """The platform allows no listener, so that nothing is known."""
+        return None
+
     async def start(self, told: dict[str, Any]) -> None:
         """Start the process."""
         self._told = told
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -79,6 +79,8 @@
             except asyncio.CancelledError:
                 interrupted = True
             finally:
+                names = [facts.id for facts in self.plan.routers]
+                figures = {n: r.figures() for n, r in zip(names, self.routers, strict=True)}
                 await self._stop()
         crashes = [
             f"{facts.id}: {why}"
@@ -93,6 +95,7 @@
             self.world,
             clock=self._stage.clock,
             events=sorted([*self.plan.troubles, *self.events]),
+            figures=figures,
             crashes=[*crashes, *faults.seen],
             interrupted=interrupted,
         )
--- a/pebblepass/rehearsal/terminal.py
+++ b/pebblepass/rehearsal/terminal.py
@@ -89,6 +89,9 @@
         f"repeats dropped: {report['effects']['repeats_dropped']}",
         soft_wrap=True,
     )
+    if routers := report["figures"]["compared"]:
+        differ = len(report["figures"]["differences"])
+        console.print(f"own figures of {', '.join(routers)} against the kit's count: {differ} differ")
     if compared := report.get("compared"):
         table = Table("figure", "real", "virtual", box=None)
         for name, (real, virtual) in compared.items():
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -33,6 +33,12 @@
     fields: dict[str, str]
     timeout_ms: int
 
+    @property
+    def size(self) -> int:
+        """The bytes of its words."""
+        value = len(self.value) if self.value is not None else 0
+        return len(self.key) + len(self.id) + len(self.info) + value
+
     def info_with(self, left_ms: int) -> bytes:
         """The list of names and values with `d` telling how long the router will wait."""
         info = b"," + self.info
--- a/tests/daemon/test_clients.py
+++ b/tests/daemon/test_clients.py
@@ -18,6 +18,9 @@
 
     ready = True
 
+    def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
+        pass
+
     def __init__(self) -> None:
         self.holding = False
         self.held: list[Reply] = []
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -228,10 +228,10 @@
 
     taken = 0
 
-    def _answer(self, request_id: str, data: bytes) -> None:
+    def _answer(self, request_id: str, data: bytes, refused: str = "", failed: str = "") -> None:
         self.taken += 1
         if self.taken % 10:
-            super()._answer(request_id, data)
+            super()._answer(request_id, data, refused, failed)
 
 
 def broken_daemon(host: type[RouterHost]) -> type[Daemon]:
