--- a/tests/figures/test_router_figures.py
+++ b/tests/figures/test_router_figures.py
@@ -222,3 +222,29 @@
     with site(tmp_path, monkeypatch, more=more) as held:
         assert held.document()["epoch"] != epoch
         assert held.document()["figures"] == []
+
+
+def test_scrapes_under_load_cost_no_request(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    with site(tmp_path, monkeypatch) as held:
+        answers: list[bytes] = []
+
+        def ask(first: int) -> None:
+            client = held.running.client()
+            answers.extend(client.ask(get(f"q{first + number}")) for number in range(100))
+
+        askers = [threading.Thread(target=ask, args=(first,)) for first in (0, 100, 200, 300)]
+        for asker in askers:
+            asker.start()
+        scrapes = 0
+        while scrapes < 20 or any(asker.is_alive() for asker in askers):
+            connection = http.client.HTTPConnection("127.0.0.1", held.listen, timeout=20)
+            connection.request("GET", "/metrics")
+            assert connection.getresponse().read().endswith(b"# EOF\n")
+            connection.close()
+            scrapes += 1
+        for asker in askers:
+            asker.join()
+        row = held.settled(taken=400, open=0)
+        assert row["refused"] == sum(answer.startswith(b"-BUSY") for answer in answers)
+        assert row["served"] == 400 - row["refused"]
+        assert held.document()["breaches"] == 0
