Take ports that outgoing connections can't take, and drop what nobody uses

Need: a test that frees a port for a router lost it now and then to another worker's outgoing connection, and failed.

--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -10,7 +10,6 @@
 
 from pebblepass import __version__
 
-OPERATOR_VARIABLE = "PEBBLEPASS_OPERATOR"
 EXIT_BROKEN, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
 
 
@@ -44,6 +43,7 @@
 @click.option("--operator", type=click.Path(path_type=Path), help="The operator's file.")
 def run(operator: Path | None) -> None:
     """Run a router, configured by LB_CONFIG as the platform does."""
+    from pebblepass.daemon.__main__ import OPERATOR_VARIABLE
     from pebblepass.daemon.__main__ import main as daemon_main
 
     if operator is not None:
--- a/pebblepass/figures/ledger.py
+++ b/pebblepass/figures/ledger.py
@@ -270,11 +270,6 @@
                 entry = _Entry(account, *key, "", 0, 0)
                 self._breach(BreachKind.NO_BALANCE, now, "", entry)
 
-    def open_count(self, request_class: str, namespace: str) -> int:
-        """Requests that stand open, counted from the entries."""
-        key = request_class, namespace
-        return sum((e.request_class, e.namespace) == key for e in self._entries.values())
-
     def acknowledge(self, number: int) -> int:
         """Take note of all breaches up to this number; returns how many that were."""
         kept = [breach for breach in self.breaches if breach.number > number]
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
+import os
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -273,12 +275,17 @@
         log.removeHandler(self)
 
 
+_ports = itertools.count(os.getpid() * 37)
+
+
 async def _free_port(loop: asyncio.AbstractEventLoop) -> int:
-    """A port that the kernel has just given, and that is free again."""
-    server = await loop.create_server(asyncio.Protocol, LOOPBACK, 0)
-    port = int(server.sockets[0].getsockname()[1])
-    server.close()
-    return port
+    """A free port below those that the kernel deals out to outgoing connections and could give away."""
+    while True:
+        port = 15_000 + next(_ports) % 15_000
+        with suppress(OSError):
+            server = await loop.create_server(asyncio.Protocol, LOOPBACK, port)
+            server.close()
+            return port
 
 
 def rehearse(
--- a/pebblepass/standins/clients.py
+++ b/pebblepass/standins/clients.py
@@ -27,8 +27,6 @@
     """The router closed the connection without a byte of an answer."""
     UNREACHED = "unreached"
     """No connection came up."""
-    UNANSWERED = "unanswered"
-    """Nothing came in the time that the client listened."""
 
 
 Done = Callable[[Answer, int], None]
--- a/tests/figures/test_service.py
+++ b/tests/figures/test_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
@@ -20,21 +20,11 @@
 from pebblepass.operator import FiguresSection
 from pebblepass.rehearsal.clock import VirtualLoop
 from tests.decisions.cases import MS, settings
+from tests.virtual import played
 
 HOST = "127.0.0.1"
 
 
-def played(work: Callable[[VirtualLoop], Awaitable[Any]]) -> Any:
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        loop = runner.get_loop()
-        assert isinstance(loop, VirtualLoop)
-
-        async def main() -> Any:
-            return await work(loop)
-
-        return runner.run(main())
-
-
 async def free_listen(loop: VirtualLoop) -> str:
     server = await loop.create_server(asyncio.Protocol, HOST, 0)
     port = server.sockets[0].getsockname()[1]
--- a/tests/rehearsal/test_clock.py
+++ b/tests/rehearsal/test_clock.py
@@ -5,28 +5,17 @@
 import asyncio
 import socket
 import time
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from pebblepass.rehearsal.clock import START_S, WINDOW, StalledError, VirtualLoop
+from tests.virtual import played
 
 HOST = "127.0.0.1"
 LINGER_0 = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 
 
-def played(work: Callable[[VirtualLoop], Awaitable[Any]]) -> Any:
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        loop = runner.get_loop()
-        assert isinstance(loop, VirtualLoop)
-
-        async def main() -> Any:
-            return await work(loop)
-
-        return runner.run(main())
-
-
 class Recorder(asyncio.Protocol):
     """Notes what comes, and when."""
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -41,9 +42,15 @@
 }
 
 
+_ports = itertools.count(int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) * 500)
+
+
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return int(listener.getsockname()[1])
+    """A port that no other worker takes, below those that the kernel deals out to outgoing connections."""
+    while True:
+        port = 10_000 + next(_ports) % 5_000
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def eventually(check: Callable[[], Any], what: str) -> Any:
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,20 @@
+"""A test's coroutine on the virtual loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from pebblepass.rehearsal.clock import VirtualLoop
+
+
+def played(work: Callable[[VirtualLoop], Awaitable[Any]]) -> Any:
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        loop = runner.get_loop()
+        assert isinstance(loop, VirtualLoop)
+
+        async def main() -> Any:
+            return await work(loop)
+
+        return runner.run(main())
