Close a ledger entry in fewer steps, and audit every 80 ms

With figures on a request cost 14% more CPU: a function call and an object for each step of an entry, a removal from an ordered dictionary for each close, and an audit twenty times a second.

An entry is a tuple, closed requests stand in two dictionaries taken in turn, the end of an attempt asks the clock once, and the audit comes every 80 ms, still within the 0.1 s in which a breach is told.

--- a/pebblepass/figures/ledger.py
+++ b/pebblepass/figures/ledger.py
@@ -9,17 +9,16 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
-from operator import itemgetter
 from typing import Any
 
 OTHER = "(other)"
 """The namespace to which all go that the settings don't name: strangers must not make labels."""
 
-REMEMBERED = 4096  # requests that were closed last: a second answer is told apart from one for nothing
+REMEMBERED = 2048  # requests closed last, at least: a second answer is told apart from one for nothing
 MOST_BREACHES = 256  # that are kept until they are acknowledged; all are counted
 SUB_BITS = 4  # a latency bucket is at most a sixteenth wide, as in HDR histograms (Tene)
 
@@ -65,6 +64,8 @@
 class Account:
     """The figures of one class in one namespace."""
 
+    request_class: str
+    namespace: str
     taken: int = 0
     served_in_aim: int = 0
     served_late: int = 0
@@ -83,6 +84,8 @@
     def copy(self) -> Account:
         """These figures as they are now."""
         return Account(
+            self.request_class,
+            self.namespace,
             self.taken,
             self.served_in_aim,
             self.served_late,
@@ -100,17 +103,13 @@
     def closed(self) -> int:
         """All that stand in an account other than open."""
         done = self.served_in_aim + self.served_late + self.gone
-        return done + sum(self.refused.values()) + sum(self.failed.values())
+        if self.refused:
+            done += sum(self.refused.values())
+        return done + sum(self.failed.values()) if self.failed else done
 
 
-@dataclass(slots=True)
-class _Entry:
-    account: Account
-    request_class: str
-    namespace: str
-    path: str
-    taken_at: int
-    due: int
+_Entry = tuple[Account, int, int, str]
+"""A request's account, when it was taken and is due, and its path; a tuple, as each request makes one."""
 
 
 def bucket(latency_ns: int) -> int:
@@ -137,10 +136,14 @@
         self._aims = aims
         self._namespaces = frozenset(namespaces)
         self.accounts: dict[tuple[str, str], Account] = {
-            (name, namespace): Account() for name in aims for namespace in (*self._namespaces, OTHER)
+            (name, namespace): Account(name, namespace)
+            for name in aims
+            for namespace in (*self._namespaces, OTHER)
         }
         self._entries: dict[str, _Entry] = {}
-        self._closed: OrderedDict[str, _Entry] = OrderedDict()
+        # Those closed last, and those before them: two dictionaries in turn cost a request no removal.
+        self._closed: dict[str, _Entry] = {}
+        self._closed_before: dict[str, _Entry] = {}
         self._told = told
         self._overdue: set[str] = set()
         self._unbalanced: set[tuple[str, str]] = set()
@@ -161,25 +164,22 @@
         path: str,
     ) -> None:
         """Enter a request that is owed a final answer by `due`."""
-        entry = self._entry(request_class, namespace, now, due, path)
+        account = self.accounts[request_class, namespace if namespace in self._namespaces else OTHER]
+        entry = (account, now, due, path)
         if request in self._entries:
             self._breach(BreachKind.TWICE_TAKEN, now, request, entry)
             return
         self._entries[request] = entry
-        entry.account.taken += 1
-        entry.account.bytes_taken += size
-
-    def _entry(self, request_class: str, namespace: str | None, now: int, due: int, path: str) -> _Entry:
-        name = namespace if namespace in self._namespaces else OTHER
-        return _Entry(self.accounts[request_class, name], request_class, name, path, now, due)
+        account.taken += 1
+        account.bytes_taken += size
 
     def serve(self, request: str, now: int, size: int) -> None:
         """Move a request to served."""
         entry = self._close(request, now, "served")
         if entry is None:
             return
-        account, latency = entry.account, now - entry.taken_at
-        if latency <= self._aims[entry.request_class]:
+        account, latency = entry[0], now - entry[1]
+        if latency <= self._aims[account.request_class]:
             account.served_in_aim += 1
         else:
             account.served_late += 1
@@ -189,17 +189,17 @@
     def refuse(self, request: str, now: int, reason: str) -> None:
         """Move a request to refused."""
         if (entry := self._close(request, now, "refused")) is not None:
-            entry.account.refused[reason] += 1
+            entry[0].refused[reason] += 1
 
     def fail(self, request: str, now: int, reason: str) -> None:
         """Move a request to failed."""
         if (entry := self._close(request, now, "failed")) is not None:
-            entry.account.failed[reason] += 1
+            entry[0].failed[reason] += 1
 
     def leave(self, request: str, now: int) -> None:
         """Move a request to gone: its client has left."""
         if (entry := self._close(request, now, "gone")) is not None:
-            entry.account.gone += 1
+            entry[0].gone += 1
 
     def turn_away(
         self,
@@ -212,7 +212,7 @@
         failed: str = "",
     ) -> None:
         """Take a request and close it in one move: one that is never given to the decisions."""
-        account = self._entry(request_class, namespace, now, now, path).account
+        account = self.accounts[request_class, namespace if namespace in self._namespaces else OTHER]
         account.taken += 1
         account.bytes_taken += size
         if refused:
@@ -222,22 +222,24 @@
 
     def attempt(self, request: str, outcome: str, to_origin: bool) -> None:
         """Count the end of an attempt; it may come after the request was closed."""
-        entry = self._entries.get(request) or self._closed.get(request)
+        entry = self._entries.get(request) or self._closed.get(request) or self._closed_before.get(request)
         if entry is not None:
-            entry.account.attempts[outcome] += 1
-            entry.account.fetches += to_origin
+            account = entry[0]
+            account.attempts[outcome] += 1
+            account.fetches += to_origin
 
     def _close(self, request: str, now: int, what: str) -> _Entry | None:
         entry = self._entries.pop(request, None)
         if entry is None:
-            before = self._closed.get(request)
+            before = self._closed.get(request) or self._closed_before.get(request)
             kind = BreachKind.NEVER_TAKEN if before is None else BreachKind.TWICE_CLOSED
             self._breach(kind, now, request, before, what)
             return None
         self._closed[request] = entry
-        if len(self._closed) > REMEMBERED:
-            self._closed.popitem(last=False)
-        self._overdue.discard(request)
+        if len(self._closed) >= REMEMBERED:
+            self._closed, self._closed_before = {}, self._closed
+        if self._overdue:
+            self._overdue.discard(request)
         return entry
 
     def carry(self, rows: Iterable[dict[str, Any]]) -> None:
@@ -249,7 +251,8 @@
         for row in rows:
             if row["class"] not in self._aims:
                 continue
-            account = self._entry(row["class"], row["namespace"], 0, 0, "").account
+            namespace = row["namespace"] if row["namespace"] in self._namespaces else OTHER
+            account = self.accounts[row["class"], namespace]
             account.taken += row["taken"]
             account.served_in_aim += row["served_in_aim"]
             account.served_late += row["served_late"]
@@ -272,20 +275,21 @@
         """
         counts: Counter[tuple[str, str]] = Counter()
         for request, entry in self._entries.items():
-            counts[entry.request_class, entry.namespace] += 1
+            account = entry[0]
+            counts[account.request_class, account.namespace] += 1
             gone = open_requests is not None and request not in open_requests
-            if (gone or now > entry.due + slack) and request not in self._overdue:
+            if (gone or now > entry[2] + slack) and request not in self._overdue:
                 self._overdue.add(request)
                 self._breach(BreachKind.NEVER_CLOSED, now, request, entry, "forgotten" if gone else "overdue")
         for request in open_requests or ():
             if request not in self._entries and request not in self._overdue:
                 self._overdue.add(request)
-                self._breach(BreachKind.NOT_OPEN, now, request, self._closed.get(request))
+                known = self._closed.get(request) or self._closed_before.get(request)
+                self._breach(BreachKind.NOT_OPEN, now, request, known)
         for key, account in self.accounts.items():
-            if account.taken != account.closed + counts[key] and key not in self._unbalanced:
+            if account.taken != account.closed + counts.get(key, 0) and key not in self._unbalanced:
                 self._unbalanced.add(key)
-                entry = _Entry(account, *key, "", 0, 0)
-                self._breach(BreachKind.NO_BALANCE, now, "", entry)
+                self._breach(BreachKind.NO_BALANCE, now, "", (account, 0, 0, ""))
 
     def acknowledge(self, number: int) -> int:
         """Take note of all breaches up to this number; returns how many that were."""
@@ -295,14 +299,14 @@
 
     def _breach(self, kind: BreachKind, now: int, request: str, entry: _Entry | None, what: str = "") -> None:
         self.breach_count += 1
-        path = entry.path if entry is not None else ""
+        account, path = (entry[0], entry[3]) if entry is not None else (None, "")
         breach = Breach(
             number=self.breach_count,
             kind=kind,
             at=now,
             request=request,
-            request_class=entry.request_class if entry is not None else "",
-            namespace=entry.namespace if entry is not None else "",
+            request_class=account.request_class if account is not None else "",
+            namespace=account.namespace if account is not None else "",
             path=f"{path}: {what}" if path and what else path or what,
         )
         if len(self.breaches) < MOST_BREACHES:
@@ -314,8 +318,8 @@
 
     def cut(self) -> Cut:
         """All accounts as they stand now; cheap, and free for another thread to work on."""
-        counts = Counter((e.request_class, e.namespace) for e in self._entries.values())
-        rows = [(*key, acc.copy(), counts[key]) for key, acc in self.accounts.items() if acc.taken]
+        counts = Counter(id(entry[0]) for entry in self._entries.values())
+        rows = [(acc.copy(), counts[id(acc)]) for acc in self.accounts.values() if acc.taken]
         return Cut(rows, self.breach_count, tuple(self.breaches))
 
     def figures(self) -> list[dict[str, Any]]:
@@ -327,8 +331,8 @@
 class Cut:
     """The accounts at one moment, in which something ever stood."""
 
-    rows: list[tuple[str, str, Account, int]]
-    """Class, namespace, account, and how many stand open."""
+    rows: list[tuple[Account, int]]
+    """Each account, and how many stand open in it."""
     breach_count: int
     breaches: tuple[Breach, ...]
     """Those not yet acknowledged."""
@@ -337,8 +341,8 @@
         """Every account in plain values, in one order."""
         return [
             {
-                "class": name,
-                "namespace": namespace,
+                "class": account.request_class,
+                "namespace": account.namespace,
                 "taken": account.taken,
                 "served": account.served_in_aim + account.served_late,
                 "served_in_aim": account.served_in_aim,
@@ -357,5 +361,7 @@
                     [*bucket_bounds(number), count] for number, count in sorted(account.latency.items())
                 ],
             }
-            for name, namespace, account, still_open in sorted(self.rows, key=itemgetter(0, 1))
+            for account, still_open in sorted(
+                self.rows, key=lambda row: (row[0].request_class, row[0].namespace)
+            )
         ]
--- a/pebblepass/figures/service.py
+++ b/pebblepass/figures/service.py
@@ -20,7 +20,7 @@
 from pebblepass.operator import FiguresSection
 from pebblepass.wire.address import Address, parse_address
 
-AUDIT_S = 0.05  # breaches are told within 0.1 s
+AUDIT_S = 0.08  # breaches are told within 0.1 s
 SLACK_NS = 120_000_000  # after its deadline in which a request may still get its answer
 
 T = TypeVar("T")
