Post the ledger's moves from daybooks, many at once

Moves are checked at once and posted by the next audit, or whoever looks. Attempts are counted by class and namespace, also long after their request was forgotten; the one that brought the answer is told with it.

--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -173,9 +173,11 @@
             request.closed = True
             reply.send(resp.bulk(value))
             if ledger is not None:
-                ledger.serve(request.id, now, len(value))
+                ledger.serve(request.id, now, len(value), self._to_origin)
+                ledger = None  # told of both
         if ledger is not None:
-            ledger.attempt(request.id, outcome.value, self._to_origin)
+            fields = request.command.fields
+            ledger.attempt(fields["c"], fields.get("t"), outcome.value, self._to_origin)
         latency = self._latency or now - self._sent_at
         load, stale = host.load(report), self.stale and outcome is Outcome.RESET
         event = AttemptEnded(
--- a/pebblepass/figures/ledger.py
+++ b/pebblepass/figures/ledger.py
@@ -18,7 +18,7 @@
 OTHER = "(other)"
 """The namespace to which all go that the settings don't name: strangers must not make labels."""
 
-REMEMBERED = 2048  # requests closed last, at least: a second answer is told apart from one for nothing
+REMEMBERED = 256  # requests closed last, at least: a second answer is told apart from one for nothing
 MOST_BREACHES = 256  # that are kept until they are acknowledged; all are counted
 SUB_BITS = 4  # a latency bucket is at most a sixteenth wide, as in HDR histograms (Tene)
 
@@ -108,8 +108,9 @@
         return done + sum(self.failed.values()) if self.failed else done
 
 
-_Entry = tuple[Account, int, int, str]
-"""A request's account, when it was taken and is due, and its path; a tuple, as each request makes one."""
+_Entry = tuple[str, str, int, int, str, int]
+"""A request's class, namespace, when it was taken and is due, its path and size: a tuple, as one is made for
+each request."""
 
 
 def bucket(latency_ns: int) -> int:
@@ -135,12 +136,16 @@
         """`aims`: each class's aim in nanoseconds; `told` is called with each breach as it happens."""
         self._aims = aims
         self._namespaces = frozenset(namespaces)
-        self.accounts: dict[tuple[str, str], Account] = {
+        self._accounts: dict[tuple[str, str], Account] = {
             (name, namespace): Account(name, namespace)
             for name in aims
             for namespace in (*self._namespaces, OTHER)
         }
         self._entries: dict[str, _Entry] = {}
+        # The daybooks: moves that are checked, and not yet posted to their accounts.
+        self._taken: list[_Entry] = []
+        self._served: list[tuple[_Entry, int, int, bool | None]] = []
+        self._attempts: list[tuple[str, str, str, bool]] = []
         # Those closed last, and those before them: two dictionaries in turn cost a request no removal.
         self._closed: dict[str, _Entry] = {}
         self._closed_before: dict[str, _Entry] = {}
@@ -164,42 +169,33 @@
         path: str,
     ) -> None:
         """Enter a request that is owed a final answer by `due`."""
-        account = self.accounts[request_class, namespace if namespace in self._namespaces else OTHER]
-        entry = (account, now, due, path)
+        name = namespace if namespace in self._namespaces else OTHER
+        entry = (request_class, name, now, due, path, size)
         if request in self._entries:
             self._breach(BreachKind.TWICE_TAKEN, now, request, entry)
             return
         self._entries[request] = entry
-        account.taken += 1
-        account.bytes_taken += size
+        self._taken.append(entry)
 
-    def serve(self, request: str, now: int, size: int) -> None:
-        """Move a request to served."""
-        entry = self._close(request, now, "served")
-        if entry is None:
-            return
-        account, latency = entry[0], now - entry[1]
-        if latency <= self._aims[account.request_class]:
-            account.served_in_aim += 1
-        else:
-            account.served_late += 1
-        account.bytes_served += size
-        account.latency[bucket(latency)] += 1
+    def serve(self, request: str, now: int, size: int, to_origin: bool | None = None) -> None:
+        """Move a request to served; `to_origin` counts the attempt that brought the answer, in one step."""
+        if (entry := self._close(request, now, "served")) is not None:
+            self._served.append((entry, now, size, to_origin))
 
     def refuse(self, request: str, now: int, reason: str) -> None:
         """Move a request to refused."""
         if (entry := self._close(request, now, "refused")) is not None:
-            entry[0].refused[reason] += 1
+            self._accounts[entry[:2]].refused[reason] += 1
 
     def fail(self, request: str, now: int, reason: str) -> None:
         """Move a request to failed."""
         if (entry := self._close(request, now, "failed")) is not None:
-            entry[0].failed[reason] += 1
+            self._accounts[entry[:2]].failed[reason] += 1
 
     def leave(self, request: str, now: int) -> None:
         """Move a request to gone: its client has left."""
         if (entry := self._close(request, now, "gone")) is not None:
-            entry[0].gone += 1
+            self._accounts[entry[:2]].gone += 1
 
     def turn_away(
         self,
@@ -212,7 +208,7 @@
         failed: str = "",
     ) -> None:
         """Take a request and close it in one move: one that is never given to the decisions."""
-        account = self.accounts[request_class, namespace if namespace in self._namespaces else OTHER]
+        account = self._accounts[request_class, namespace if namespace in self._namespaces else OTHER]
         account.taken += 1
         account.bytes_taken += size
         if refused:
@@ -220,13 +216,46 @@
         else:
             account.failed[failed] += 1
 
-    def attempt(self, request: str, outcome: str, to_origin: bool) -> None:
-        """Count the end of an attempt; it may come after the request was closed."""
-        entry = self._entries.get(request) or self._closed.get(request) or self._closed_before.get(request)
-        if entry is not None:
-            account = entry[0]
+    def attempt(self, request_class: str, namespace: str | None, outcome: str, to_origin: bool) -> None:
+        """Count the end of an attempt; it may come long after its request was closed."""
+        name = namespace if namespace in self._namespaces else OTHER
+        self._attempts.append((request_class, name, outcome, to_origin))
+
+    def _post(self) -> None:
+        """Post what stands in the daybooks to the accounts.
+
+        Many at once, as the same few steps in a row cost a fraction of what they cost between a request's
+        others; nobody sees the accounts meanwhile.
+        """
+        accounts, aims = self._accounts, self._aims
+        for name, namespace, _, _, _, size in self._taken:
+            account = accounts[name, namespace]
+            account.taken += 1
+            account.bytes_taken += size
+        self._taken.clear()
+        for (name, namespace, taken_at, _, _, _), now, size, to_origin in self._served:
+            account, latency = accounts[name, namespace], now - taken_at
+            if latency <= aims[name]:
+                account.served_in_aim += 1
+            else:
+                account.served_late += 1
+            account.bytes_served += size
+            account.latency[bucket(latency)] += 1
+            if to_origin is not None:
+                account.attempts["ok"] += 1
+                account.fetches += to_origin
+        self._served.clear()
+        for name, namespace, outcome, fetched in self._attempts:
+            account = accounts[name, namespace]
             account.attempts[outcome] += 1
-            account.fetches += to_origin
+            account.fetches += fetched
+        self._attempts.clear()
+
+    @property
+    def accounts(self) -> dict[tuple[str, str], Account]:
+        """All accounts, by class and namespace, with all moves posted."""
+        self._post()
+        return self._accounts
 
     def _close(self, request: str, now: int, what: str) -> _Entry | None:
         entry = self._entries.pop(request, None)
@@ -275,10 +304,9 @@
         """
         counts: Counter[tuple[str, str]] = Counter()
         for request, entry in self._entries.items():
-            account = entry[0]
-            counts[account.request_class, account.namespace] += 1
+            counts[entry[:2]] += 1
             gone = open_requests is not None and request not in open_requests
-            if (gone or now > entry[2] + slack) and request not in self._overdue:
+            if (gone or now > entry[3] + slack) and request not in self._overdue:
                 self._overdue.add(request)
                 self._breach(BreachKind.NEVER_CLOSED, now, request, entry, "forgotten" if gone else "overdue")
         for request in open_requests or ():
@@ -289,7 +317,7 @@
         for key, account in self.accounts.items():
             if account.taken != account.closed + counts.get(key, 0) and key not in self._unbalanced:
                 self._unbalanced.add(key)
-                self._breach(BreachKind.NO_BALANCE, now, "", (account, 0, 0, ""))
+                self._breach(BreachKind.NO_BALANCE, now, "", (*key, 0, 0, "", 0))
 
     def acknowledge(self, number: int) -> int:
         """Take note of all breaches up to this number; returns how many that were."""
@@ -299,14 +327,14 @@
 
     def _breach(self, kind: BreachKind, now: int, request: str, entry: _Entry | None, what: str = "") -> None:
         self.breach_count += 1
-        account, path = (entry[0], entry[3]) if entry is not None else (None, "")
+        name, namespace, path = (*entry[:2], entry[4]) if entry is not None else ("", "", "")
         breach = Breach(
             number=self.breach_count,
             kind=kind,
             at=now,
             request=request,
-            request_class=account.request_class if account is not None else "",
-            namespace=account.namespace if account is not None else "",
+            request_class=name,
+            namespace=namespace,
             path=f"{path}: {what}" if path and what else path or what,
         )
         if len(self.breaches) < MOST_BREACHES:
@@ -318,8 +346,8 @@
 
     def cut(self) -> Cut:
         """All accounts as they stand now; cheap, and free for another thread to work on."""
-        counts = Counter(id(entry[0]) for entry in self._entries.values())
-        rows = [(acc.copy(), counts[id(acc)]) for acc in self.accounts.values() if acc.taken]
+        counts = Counter(entry[:2] for entry in self._entries.values())
+        rows = [(account.copy(), counts[key]) for key, account in self.accounts.items() if account.taken]
         return Cut(rows, self.breach_count, tuple(self.breaches))
 
     def figures(self) -> list[dict[str, Any]]:
--- a/tests/figures/test_ledger.py
+++ b/tests/figures/test_ledger.py
@@ -165,12 +165,21 @@
     made, _ = ledger()
     take(made)
     made.leave("q", MS)
-    made.attempt("q", "ok", to_origin=True)
-    made.attempt("unheard-of", "ok", to_origin=True)
+    made.attempt("fetch", "public", "ok", to_origin=True)
+    made.attempt("fetch", "unheard-of", "ok", to_origin=True)
     row = only(made)
     assert (row["attempts"], row["origin_fetches"]) == ({"ok": 1}, 1)
 
 
+def test_the_attempt_that_brought_the_answer_counts_with_it() -> None:
+    made, told = ledger()
+    for name, to_origin in (("a", None), ("b", False), ("c", True)):
+        take(made, name)
+        made.serve(name, MS, 1, to_origin)
+    row = only(made)
+    assert (row["served"], row["attempts"], row["origin_fetches"], told) == (3, {"ok": 2}, 1, [])
+
+
 def test_breaches_are_kept_until_they_are_acknowledged_and_the_list_is_bounded() -> None:
     made, told = ledger()
     for number in range(MOST_BREACHES + 10):
@@ -252,7 +261,7 @@
 
     @rule(name=names)
     def attempt(self, name: str) -> None:
-        self.ledger.attempt(name, "ok", to_origin=False)
+        self.ledger.attempt("fetch", name, "ok", to_origin=False)
 
     @invariant()
     def agrees(self) -> None:
--- a/tests/figures/test_rehearsed.py
+++ b/tests/figures/test_rehearsed.py
@@ -163,9 +163,9 @@
     held: list[tuple[str, bool]] = []
     attempt = Ledger.attempt
 
-    def noted(self: Ledger, request: str, outcome: str, to_origin: bool) -> None:
+    def noted(self: Ledger, cls: str, namespace: str | None, outcome: str, to_origin: bool) -> None:
         held.append((outcome, to_origin))
-        attempt(self, request, outcome, to_origin)
+        attempt(self, cls, namespace, outcome, to_origin)
 
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(Ledger, "attempt", noted)
--- a/tests/figures/test_service.py
+++ b/tests/figures/test_service.py
@@ -305,7 +305,7 @@
         await first.start()
         first.take("q")
         first.ledger.serve("q", first.now() + 17 * MS, 100)
-        first.ledger.attempt("q", "ok", to_origin=True)
+        first.ledger.attempt("read", "a", "ok", to_origin=True)
         first.open.clear()
         before = first.ledger.figures()
         first.service.stop(closing=True)
