Hold the router's own lateness against itself, and give quick servers a floor

On a healthy fleet with answers after 1.5 ms attempts were given up and repeated, and requests refused: six spreads of a quick server are less than a hiccup of the router's own loop, after which its answer stood unread in the kernel.

Patience is an eighth of the aim at least, and longer by what the loop ran late in the last seconds; that time is taken off an attempt's before anybody is judged by it; and sockets are read before an attempt is given up. Rehearsals get the fault router-stall.

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -112,6 +112,7 @@
         """Break every connection, as the end of the process would: nothing is sent any more."""
         if self._reloading is not None:
             self._reloading.cancel()
+        self.host.lag.close()
         self.host.abandon()
         self._pool.close()
         self.clients.close()
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -11,6 +11,7 @@
 
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.clients import Reply
+from pebblepass.daemon.lag import LoopLag, after_news
 from pebblepass.daemon.origin import OriginConnection
 from pebblepass.daemon.upstream import Exchange, Pool, ValueSource
 from pebblepass.decisions import (
@@ -27,6 +28,7 @@
     Refuse,
     RequestArrived,
     Router,
+    RouterLate,
     Send,
     ServersChanged,
     ServerState,
@@ -72,7 +74,7 @@
     def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
-        self._sent_at = host.now()
+        self._sent_at, self._lag_before = host.now(), host.lag.total
         self._latency = self._length = 0  # until a long value's first bytes; that value's length
         self._source: ValueSource | None = None
         self._came_at = 0.0
@@ -85,7 +87,12 @@
         self._timer = self._host.call_at(due, self._timed_out)
 
     def _timed_out(self) -> None:
-        self.give_up(Outcome.TIMEOUT)
+        # Guards a server that has answered: after a hold-up of this loop its answer stands unread.
+        after_news(self._host.loop, self._no_answer)
+
+    def _no_answer(self) -> None:
+        if self._source is None:  # else a long value has begun in the last moment
+            self.give_up(Outcome.TIMEOUT)
 
     def request_bytes(self, address: Address) -> bytes:
         """The client's command again, with what is left of its time."""
@@ -101,7 +108,7 @@
 
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value's header."""
-        self._latency = self._host.now() - self._sent_at
+        self._latency = self._elapsed(self._host.now())
         request = self._request
         if request.closed:
             return  # nobody reads it: the attempt's time runs on
@@ -114,6 +121,10 @@
         request.reply.start(b"$%d\r\n" % length, self)
         self._host.tell(StreamStarted(request.id, self._number))
 
+    def _elapsed(self, now: int) -> int:
+        """The time that the server took: what this router's own loop was held up is not held against it."""
+        return max(now - self._sent_at - (self._host.lag.total - self._lag_before), 1)
+
     def value_came(self, data: bytes) -> None:
         """Pass on a part of a long value."""
         if self._source is not None:
@@ -178,7 +189,7 @@
         if ledger is not None:
             fields = request.command.fields
             ledger.attempt(fields["c"], fields.get("t"), outcome.value, self._to_origin)
-        latency = self._latency or now - self._sent_at
+        latency = self._latency or self._elapsed(now)
         load, stale = host.load(report), self.stale and outcome is Outcome.RESET
         event = AttemptEnded(
             request.id, self._number, self._server, outcome, request.closed, latency, note, load, stale
@@ -242,6 +253,7 @@
         self._origins: set[str] = set()
         self._events: deque[Event] = deque()
         self._handling = False
+        self.lag = LoopLag(loop, lambda lag: self.tell(RouterLate(lag)))
 
     @property
     def owed(self) -> int:
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -223,7 +223,23 @@
     load: tuple[float, ...] | None = None
 
 
-Event = ServersChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+@dataclass(frozen=True, slots=True)
+class RouterLate:
+    """How late the router's own loop has run lately, at most: its news may have stood unread so long."""
+
+    lag: int
+
+
+Event = (
+    ServersChanged
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
+    | RouterLate
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -34,7 +34,7 @@
 PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
 REGAIN = 60 * NS_PER_S
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
-PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
+PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
 DEAD = -0.02
 
 
@@ -268,6 +268,7 @@
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
         self._asking, self._failed_calls = False, 0
+        self._lag = 0  # how late this router's own loop runs
         self._now = 0
         self._actions: list[api.Action] = []
 
@@ -283,6 +284,8 @@
                 self._servers_changed(event)
             case api.TimerFired():
                 self._timer(event.token)
+            case api.RouterLate():
+                self._lag = event.lag
             case api.ClientGone() if event.request in self._requests:
                 self._finish(self._requests[event.request])
         return self._actions
@@ -345,7 +348,9 @@
         first = not request.refetching if request.fetching else request.sends == 1
         if slow or not first or not request.may_repeat():
             return 0
-        return int(min(usual + spread * SPREADS, aim * PATIENCE_SHARE))
+        # Guards quick servers: six spreads of theirs are less than a hiccup, above all one of this router.
+        enough = max(usual + spread * SPREADS, aim * PATIENCE_FLOOR) + self._lag
+        return int(min(enough, aim * PATIENCE_SHARE))
 
     def _may_try(self, request: Request) -> bool:
         return request.sends < self._settings.max_attempts and self._now < request.deadline
--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -358,6 +358,10 @@
         super().close()
         self.network.close()
 
+    def stall(self, seconds: float) -> None:
+        """Let time go by within the callback that calls this, as work that holds up the loop does."""
+        self._move(seconds)
+
     def set_silent(self, address: Address, on: bool) -> None:
         """Cut a machine off: connections to this address never come up until it is back."""
         (self.network.silent.add if on else self.network.silent.discard)(address)
--- a/pebblepass/rehearsal/routers.py
+++ b/pebblepass/rehearsal/routers.py
@@ -21,6 +21,7 @@
 from pebblepass.figures import snapshot
 from pebblepass.figures.service import FiguresService
 from pebblepass.operator import FiguresSection
+from pebblepass.rehearsal.clock import VirtualLoop
 from pebblepass.wire.address import Address
 
 WATCH_S = 0.25
@@ -52,6 +53,9 @@
     def reload(self, discovery: Address) -> None:
         """Give it a new configuration that names another address of the registry."""
 
+    def stall(self, seconds: float) -> None:
+        """Let it do nothing for so long, as where the machine gives its core to others."""
+
     def crash(self) -> str:
         """Why it has ended by itself; empty while it has not."""
 
@@ -113,6 +117,11 @@
         if self._daemon is not None:
             self._daemon.move_discovery(discovery)
 
+    def stall(self, seconds: float) -> None:
+        """Hold up the loop; it is the stand-ins' too, so that their answers stand unread as well."""
+        if isinstance(self._loop, VirtualLoop):
+            self._loop.stall(seconds)
+
     def crash(self) -> str:
         """A breach of its ledger; any other fault in this process is an exception that is logged."""
         breaches = [breach for figures in self._figures for breach in figures.ledger.breaches]
@@ -228,6 +237,12 @@
         if self._process is not None:
             self._process.send_signal(signal.SIGHUP)
 
+    def stall(self, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after so long."""
+        if self._process is not None:
+            self._process.send_signal(signal.SIGSTOP)
+            asyncio.get_running_loop().call_later(seconds, self._process.send_signal, signal.SIGCONT)
+
     def crash(self) -> str:
         """Why it has ended by itself."""
         return self._crash
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -209,6 +209,10 @@
         if happening.kind.startswith("router"):
             place = happening.place % len(self.routers)
             name = self.plan.routers[place].id
+            if happening.kind == "router-stall":
+                self.routers[place].stall(happening.length)
+                self.events.append((happening.at, f"{name} stands still for {happening.length:g} s"))
+                return
             if happening.kind == "router-reload":
                 what, work = f"{name} is given another address of the registry", self._reload(place)
             elif happening.kind == "router-term":
--- a/pebblepass/rehearsal/scenario.py
+++ b/pebblepass/rehearsal/scenario.py
@@ -34,6 +34,7 @@
     "router-term",
     "router-kill",
     "router-reload",
+    "router-stall",
     "clients-leave",
 ]
 TroubleKind = Literal["burst", "invalidation", "one-time", "skew"]
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -20,6 +20,7 @@
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.router import OpenRequest, RouterHost
 from pebblepass.decisions.interface import Send, ServerState
+from pebblepass.figures.ledger import Ledger
 from pebblepass.membership.registry import Listing
 from pebblepass.rehearsal import runner
 from pebblepass.rehearsal.count import OUTCOMES
@@ -34,6 +35,7 @@
     Range,
     RequestClass,
     Scenario,
+    Store,
     Traffic,
     Trouble,
     load_scenario,
@@ -61,6 +63,28 @@
     return msgspec.structs.replace(scenario, **changes)
 
 
+def healthy(faults: tuple[Fault, ...]) -> Scenario:
+    """Fast nodes with a copy of all that is asked for, and nothing wrong with any of them."""
+    reads = RequestClass(
+        name="read", share=1.0, work_ms=Range(1.4, 1.6), aim_ms=1000, deadline_ms=3000, worth=1
+    )
+    node = Node(
+        speed=Range(1, 1),
+        slots=Range(64, 64),
+        queue=Range(1000, 1000),
+        thrash_at=Range(1000, 1000),
+        pause_ms=Range(0, 0),
+        error_rate=0,
+    )
+    return small(
+        node=node,
+        store=Store(capacity=Range(200, 200), work_ms=Range(5, 5), queue=Range(500, 500), error_rate=0),
+        classes=(reads,),
+        traffic=Traffic(rate=300, swing=0, keys=20, pooled_hits=Range(0.99, 0.99)),
+        faults=faults,
+    )
+
+
 def broken_rules(report: dict[str, Any]) -> list[str]:
     return [rule for rule, told in report["rules"].items() if not told["held"]]
 
@@ -283,6 +307,29 @@
     assert any(line.startswith("crashed") for line in verdict(report))
 
 
+@pytest.mark.parametrize("pause_ms", [20, 50, 100])
+def test_a_stalled_loop_costs_a_healthy_fleet_no_second_attempt(
+    pause_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Answers that stand unread while the router is held up count for what they are."""
+    stalls = tuple(
+        Fault(kind="router-stall", at_s=1 + place / 7, for_s=pause_ms / 1000, place=0) for place in range(40)
+    )
+    outcomes: list[str] = []
+    attempt = Ledger.attempt
+
+    def noted(self: Ledger, cls: str, namespace: str | None, outcome: str, to_origin: bool) -> None:
+        outcomes.append(outcome)
+        attempt(self, cls, namespace, outcome, to_origin)
+
+    monkeypatch.setattr(Ledger, "attempt", noted)
+    report = rehearse(make_plan(healthy(stalls), 3))
+    assert verdict(report) == []
+    assert set(outcomes) <= {"ok", "miss"}  # none was given up, and so none was made again
+    for tally in report["tries"].values():
+        assert tally["read"]["served"] == tally["read"]["asked"] > 1000
+
+
 def test_a_port_in_use_says_so(monkeypatch: pytest.MonkeyPatch) -> None:
     with socket.create_server(("127.0.0.1", 0)) as other:
         monkeypatch.setattr(runner, "take_port", lambda: other.getsockname()[1])
