Keep deadlines on one timer, and read the clock and load reports once

Each attempt set a timer of the loop's and cancelled it, read the clock seven times through two calls each, and took apart a load report that its server repeats until its next one.

Deadlines share one timer (daemon/deadlines.py): a list for each half millisecond, a heap of those, and a cancel that only lets go. The loop's clock is the system call itself, and load reports that were read are kept.

--- a/pebblepass/daemon/loop.py
+++ b/pebblepass/daemon/loop.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+from time import monotonic, monotonic_ns
 
 import uvloop
 
@@ -14,6 +14,6 @@
     one or two, and as old as the turn is long.
     """
 
-    def time(self) -> float:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+    # The functions themselves: the clock is read several times for each request.
+    time = staticmethod(monotonic)
+    time_ns = staticmethod(monotonic_ns)
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -11,6 +11,7 @@
 
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.clients import Reply
+from pebblepass.daemon.deadlines import Deadline, Deadlines
 from pebblepass.daemon.lag import LoopLag, after_news
 from pebblepass.daemon.origin import OriginConnection
 from pebblepass.daemon.upstream import Exchange, Pool, ValueSource
@@ -48,7 +49,7 @@
     from pebblepass.figures.ledger import Ledger
 
 NS_PER_MS = 1_000_000
-TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
+MOST_LOADS = 256
 FAILED = b"-ERR failed\r\n"
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 PATH = "RESP2 client"
@@ -78,7 +79,7 @@
         self._latency = self._length = 0  # until a long value's first bytes; that value's length
         self._source: ValueSource | None = None
         self._came_at = 0.0
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: Deadline | asyncio.TimerHandle | None = None
         request.attempts += 1
         request.out += 1
 
@@ -239,6 +240,10 @@
         self, loop: asyncio.AbstractEventLoop, settings: Settings, seed: int, pool: Pool, max_open: int
     ) -> None:
         self.loop, self.settings = loop, settings
+        self.now: Callable[[], int] = getattr(loop, "time_ns", lambda: int(loop.time() * NS_PER_S))
+        """The loop's time in nanoseconds."""
+        self.call_at = Deadlines(loop, self.now).add
+        """Calls back once the clock shows a time; never before."""
         self.ready = False
         self.ledger: Ledger | None = None
         """Where every request is accounted for, if the operator wants that; whoever owns it sets it."""
@@ -252,6 +257,7 @@
         self._origins: set[str] = set()
         self._events: deque[Event] = deque()
         self._handling = False
+        self._loads: dict[bytes, tuple[float, ...] | None] = {}
         self.lag = LoopLag(loop, lambda lag: self.tell(RouterLate(lag)))
 
     @property
@@ -267,17 +273,16 @@
             if not request.closed or (request.streaming and not request.accounted)
         }
 
-    def now(self) -> int:
-        """The loop's time in nanoseconds."""
-        return int(self.loop.time() * NS_PER_S)
-
-    def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
-        """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
-        return self.loop.call_later(max(due - self.now(), 0) / NS_PER_S + TIMER_STEP_S, callback)
-
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
-        """Read a load report."""
-        return resp.parse_load(report, self.settings.load_fields) if report else None
+        """Read a load report; a server sends the same one until its next, so that those read are kept."""
+        if not report:
+            return None
+        if report in self._loads:
+            return self._loads[report]
+        if len(self._loads) >= MOST_LOADS:
+            self._loads.clear()
+        found = self._loads[report] = resp.parse_load(report, self.settings.load_fields)
+        return found
 
     # Clients
 
@@ -458,11 +463,5 @@
         self._pool.submit(action.server, attempt)
 
     def _set_timer(self, due: int, token: str) -> None:
-        def fire() -> None:
-            # Danger: a timer that comes early tells the module nothing, and the request waits for ever.
-            if self.now() < due:
-                self._set_timer(due, token)
-            else:
-                self.tell(TimerFired(token))
-
-        self.call_at(due, fire)
+        # Danger: a timer that came early would tell the module nothing, and the request would wait for ever.
+        self.call_at(due, lambda: self.tell(TimerFired(token)))
--- /dev/null
+++ b/tests/daemon/test_deadlines.py
@@ -0,0 +1,122 @@
+"""Deadlines that share a timer: none early, none lost, and what is cancelled is let go."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import weakref
+
+import pytest
+
+from pebblepass.daemon.deadlines import ROUNDED_S, STEP_NS, Deadlines
+from pebblepass.daemon.loop import DaemonLoop
+from pebblepass.rehearsal.clock import VirtualLoop
+from tests.virtual import played
+
+MS = 1_000_000
+
+
+def made(loop: VirtualLoop) -> Deadlines:
+    return Deadlines(loop, lambda: int(loop.time() * 1e9))
+
+
+def test_none_comes_early_or_more_than_a_step_late_in_whatever_order_they_are_set() -> None:
+    async def work(loop: VirtualLoop) -> None:
+        deadlines, rng, off = made(loop), random.Random(7), []
+        start = int(loop.time() * 1e9)
+        for _ in range(500):
+            due = start + rng.randrange(0, 300 * MS)
+            deadlines.add(due, lambda due=due: off.append(int(loop.time() * 1e9) - due))  # type: ignore[misc]
+        await asyncio.sleep(0.4)
+        assert len(off) == 500
+        assert min(off) >= 0
+        assert max(off) <= STEP_NS + ROUNDED_S * 1e9 + 1000
+
+    played(work)
+
+
+def test_one_that_is_set_before_all_others_does_not_wait_for_them() -> None:
+    async def work(loop: VirtualLoop) -> None:
+        deadlines, seen = made(loop), []
+        start = int(loop.time() * 1e9)
+        deadlines.add(start + 500 * MS, lambda: seen.append("late"))
+        deadlines.add(start + 5 * MS, lambda: seen.append("soon"))
+        await asyncio.sleep(0.1)
+        assert seen == ["soon"]
+        await asyncio.sleep(0.5)
+        assert seen == ["soon", "late"]
+
+    played(work)
+
+
+def test_one_set_by_another_s_callback_comes_also_when_it_is_past() -> None:
+    async def work(loop: VirtualLoop) -> None:
+        deadlines, seen = made(loop), []
+        now = int(loop.time() * 1e9)
+
+        def first() -> None:
+            seen.append("first")
+            deadlines.add(now, lambda: seen.append("second"))
+
+        deadlines.add(now + MS, first)
+        await asyncio.sleep(0.05)
+        assert seen == ["first", "second"]
+
+    played(work)
+
+
+def test_a_callback_that_fails_takes_none_with_it(caplog: pytest.LogCaptureFixture) -> None:
+    async def work(loop: VirtualLoop) -> None:
+        deadlines, seen = made(loop), []
+        due = int(loop.time() * 1e9) + MS
+
+        def fails() -> None:
+            raise ValueError("on purpose")
+
+        deadlines.add(due, fails)
+        deadlines.add(due, lambda: seen.append("with it"))
+        deadlines.add(due + 10 * MS, lambda: seen.append("after it"))
+        await asyncio.sleep(0.05)
+        assert seen == ["with it", "after it"]
+
+    played(work)
+    assert "on purpose" in caplog.text
+
+
+def test_what_is_cancelled_never_comes_and_holds_nothing() -> None:
+    class Held:
+        def due(self) -> None:
+            raise AssertionError("it was cancelled")
+
+    async def work(loop: VirtualLoop) -> None:
+        deadlines, held = made(loop), Held()
+        seen, there = weakref.ref(held), deadlines.add(int(loop.time() * 1e9) + 50 * MS, held.due)
+        there.cancel()
+        del held
+        gc.collect()
+        assert seen() is None
+        await asyncio.sleep(0.1)
+
+    played(work)
+
+
+def test_on_the_daemon_s_loop_none_comes_early() -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, DaemonLoop)
+        deadlines, off, done = Deadlines(loop, loop.time_ns), [], loop.create_future()
+        for number in range(40):
+            due = loop.time_ns() + number * 700_000
+
+            def come(due: int = due) -> None:
+                off.append(loop.time_ns() - due)
+                if len(off) == 40:
+                    done.set_result(None)
+
+            deadlines.add(due, come)
+        await asyncio.wait_for(done, 30)
+        assert min(off) >= 0
+
+    with asyncio.Runner(loop_factory=DaemonLoop) as runner:
+        runner.run(work())
