Take a whole hit in one step, and keep rankings while nothing changes

What was left was spread over many small steps: an answer went through a header check, a check of its end and a reader; each request made a list of its slot's servers anew, looked at every name of its list by itself, and checked two words for plain text one by one.

A whole short hit is matched once with every length checked; a slot's list of servers is kept until the list of servers changes or while one of them is cold; requests of the module have slots.

--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -12,11 +12,27 @@
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
+AFTER_VALUE = re.compile(rb"\r\n\$3\r\nhit\r\n\$(\d{1,4})\r\n([^\r\n]*)\r\n")
 HEADER_BEGUN = re.compile(rb"\*([1-9](\r(\n(\$(-|\d{1,8}\r?)?)?)?)?)?")
 
 _NOTES = {b"hit": CacheNote.HIT, b"miss": CacheNote.MISS, b"pending": CacheNote.FETCH_OUT}
 
 
+def _whole_hit(data: bytes) -> tuple[bytes, CacheNote, bytes] | None:
+    """The value, the note and the load report, if these bytes are one whole hit; None: look closer.
+
+    Nearly all answers are that, and every length in them is checked here.
+    """
+    header = HEADER.match(data)
+    if header is None or data[1] != 51:  # 3 places
+        return None
+    start, length = header.end(), int(header[1])
+    rest = AFTER_VALUE.fullmatch(data, start + length)
+    if length > LARGE or rest is None or len(rest[2]) != int(rest[1]):
+        return None
+    return data[start : start + length], CacheNote.HIT, rest[2]
+
+
 class CacheConnection(Connection):
     """Speaks RESP2 with one cache server."""
 
@@ -39,6 +55,9 @@
         elif not self._begun:
             data = self._head + data
             self._head = b""
+            if (whole := _whole_hit(data)) is not None:
+                self.finish(Outcome.OK, *whole)
+                return
             if data[0] == 42 and b"\n$-1" not in data[:8]:
                 header = HEADER.match(data)
                 # Guards against waiting out a request's time for the rest of what can't become a header:
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -308,17 +308,9 @@
             if self.ledger is not None:
                 tenant = fields.get("t")
                 self.ledger.take(request_id, fields["c"], tenant, now, deadline, command.size, PATH)
-            self.tell(
-                RequestArrived(
-                    request=request_id,
-                    request_class=fields["c"],
-                    deadline=deadline,
-                    tenant=fields.get("t"),
-                    key=command.key.decode(),
-                    write=command.value is not None,
-                    retry=fields.get("r") == "1",
-                )
-            )
+            tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
+            retry = fields.get("r") == "1"
+            self.tell(RequestArrived(request_id, fields["c"], deadline, tenant, key, write, retry))
             return
         reply.forgotten()
 
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Sequence
 from hashlib import blake2b
 from heapq import nlargest
 from itertools import takewhile
@@ -90,12 +91,14 @@
         self.nodes: dict[str, Node] = {}
         self._settings = settings
         self._memo: dict[int, list[tuple[float, Node]]] = {}
+        self._ranked: dict[int, list[Node]] = {}  # the memo's nodes alone, while none of them is cold
         self._cold_until = 0
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
         """Take over what changed in the list; other slots keep their rankings."""
         changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
         gone = {*left, *(entry.id for entry in changed)}
+        self._ranked.clear()
         for server_id in gone:
             self.nodes.pop(server_id, None)
         if len(gone) > DEPTH:
@@ -122,16 +125,20 @@
         warm = not node.entry.started or age >= cold_time
         return 1.0 if warm else cold + (1 - cold) * age / cold_time
 
-    def rank(self, slot: int, now: int, depth: int = DEPTH) -> list[Node]:
+    def rank(self, slot: int, now: int, depth: int = DEPTH) -> Sequence[Node]:
         """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
+        known = self._ranked.get(slot, ())
+        if len(known) >= min(depth, len(self.nodes)) and now >= self._cold_until:
+            return known
         held = self._memo.get(slot, [])
         if len(held) < min(depth, len(self.nodes)):
             scored = ((self._score(slot, node), node) for node in self.nodes.values())
             held = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
         if now < self._cold_until:
             ramped = [(score * self.warmth(node, now), node) for score, node in held]
-            held = sorted(ramped, key=itemgetter(0), reverse=True)
-        return [node for _, node in held]
+            return [node for _, node in sorted(ramped, key=itemgetter(0), reverse=True)]
+        ranked = self._ranked[slot] = [node for _, node in held]
+        return ranked
 
 
 class Heat:
@@ -215,6 +222,11 @@
 class Request:
     """An open request; it lives on after its final answer until its attempt has ended."""
 
+    __slots__ = (  # noqa: RUF023
+        "id", "key", "deadline", "write", "cls", "guard", "slot", "sends", "sent_at", "share",
+        "failed", "node", "ran", "fetching", "refetching", "out", "leads", "waiting", "done",
+    )  # fmt: skip
+
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
         self.cls, self.guard = cls, guard
@@ -372,10 +384,10 @@
                 return
         self._missed(request)
 
-    def _candidates(self, request: Request) -> list[Node]:
+    def _candidates(self, request: Request) -> Sequence[Node]:
         owners = math.ceil(request.share * len(self._caches.nodes) / HEAT_SHARE)
         ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
-        return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
+        return [*sorted(ranking[:owners], key=self._draw), *ranking[owners:]] if owners > 1 else ranking
 
     def _draw(self, node: Node) -> tuple[float, float]:
         weight = node.weight * self._caches.warmth(node, self._now)
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -161,19 +161,17 @@
     if len(key) + len(request) + len(info) > MAX_WORD:
         raise ValueError("key, id or list too long")
     # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not _plain(request) or not _plain(info):
+    if not request or not info or not _plain(request + info):
         raise ValueError("id and list must be plain text")
     try:
         if not key or not key.decode().isprintable() or b" " in key:
             raise ValueError("key must be text without spaces")
     except UnicodeDecodeError:
         raise ValueError("key must be text without spaces") from None
-    fields: dict[str, str] = {}
-    for part in info.decode("ascii").split(","):
-        field, sign, value = part.partition("=")
-        if not sign:
-            raise ValueError("expected a list of names and values")
-        fields[field] = value
+    try:
+        fields: dict[str, str] = dict([part.split("=", 1) for part in info.decode("ascii").split(",")])
+    except ValueError:
+        raise ValueError("expected a list of names and values") from None
     timeout = fields.get("d", "")
     if not timeout.isdecimal() or len(timeout) > 9:
         raise ValueError("d must be a number of milliseconds")
@@ -183,7 +181,7 @@
 
 
 def _plain(word: bytes) -> bool:
-    return bool(word) and word.isascii() and word.decode("ascii").isprintable()
+    return word.isascii() and word.decode("ascii").isprintable()
 
 
 def bulk(value: bytes) -> bytes:
--- /dev/null
+++ b/tests/daemon/test_whole_answers.py
@@ -0,0 +1,108 @@
+"""An answer that comes whole is judged as one that comes byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+from hypothesis import example, given, strategies
+
+from pebblepass.daemon.caches import CacheConnection
+from pebblepass.daemon.upstream import Exchange, Server
+from pebblepass.decisions import CacheNote, Outcome
+from pebblepass.wire.address import Address
+from tests.sockets import MISS, hit
+
+
+class Told(Exchange):
+    """Notes its end."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[Any, ...]] = []
+
+    def request_bytes(self, address: Address) -> bytes:
+        return b""
+
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        self.seen.append((outcome, value, note, report))
+
+
+class NoPool:
+    def released(self, connection: CacheConnection) -> None:
+        pass
+
+
+class Place:
+    """What a connection knows of its server."""
+
+    id, pool = "s1", NoPool()
+
+
+class NoTransport(asyncio.Transport):
+    def abort(self) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+
+def judged(answer: bytes, size: int) -> tuple[list[tuple[Any, ...]], bool]:
+    """What becomes of the attempt, and whether the connection can go on, with answers in pieces so long."""
+    connection = CacheConnection(cast(Server, Place()))
+    connection.transport = NoTransport()
+    exchange = Told()
+    connection.exchange, exchange.connection = exchange, connection
+    for at in range(0, len(answer), size):
+        if exchange.over:
+            break
+        connection.data_received(answer[at : at + size])
+    return exchange.seen, connection.usable
+
+
+@given(strategies.binary(max_size=20))
+def test_a_hit_gives_its_value_note_and_report(value: bytes) -> None:
+    for size in (1, 7, 10_000):
+        (ended,), usable = judged(hit(value), size)
+        assert ended == (Outcome.OK, value, CacheNote.HIT, b"latency_ms=1.5,queue=2")
+        assert usable
+
+
+@given(strategies.binary(max_size=12), strategies.data())
+@example(b"", None)
+def test_one_byte_changed_is_judged_the_same_whole_as_byte_by_byte(
+    value: bytes, data: strategies.DataObject | None
+) -> None:
+    answer = bytearray(hit(value))
+    if data is not None:
+        at = data.draw(strategies.integers(0, len(answer) - 1))
+        answer[at] = data.draw(strategies.sampled_from(b"\r\n$*-0123459hx"))
+    whole, pieces = judged(bytes(answer), len(answer)), judged(bytes(answer), 1)
+    # Where the whole holds more than one answer the connection is given up, which pieces can't tell.
+    assert whole[0] == pieces[0]
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$5\r\nabc\r\n",  # a report shorter than told: more must come
+        b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$2\r\nabc\r\n",
+        b"*2\r\n$1\r\nv\r\n$3\r\nhit\r\n$3\r\nabc\r\n",
+        b"*4\r\n$1\r\nv\r\n$3\r\nhit\r\n$3\r\nabc\r\n",
+    ],
+)
+def test_lengths_that_are_wrong_are_found_also_where_all_comes_at_once(answer: bytes) -> None:
+    whole, pieces = judged(answer, len(answer)), judged(answer, 1)
+    assert whole[0] == pieces[0]
+
+
+def test_more_behind_an_answer_ends_the_connection_and_not_the_answer() -> None:
+    (ended,), usable = judged(hit(b"value") + MISS, 10_000)
+    assert ended[:2] == (Outcome.OK, b"value")
+    assert not usable
