Say once what a server brought, and drop what the request path had twice

An Answer is what a server brought; the loop's lateness is counted on the host's clock, read once for each attempt; the ledger looks names up in one place.

--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -6,7 +6,7 @@
 
 import hiredis
 
-from pebblepass.daemon.upstream import Connection, Server
+from pebblepass.daemon.upstream import Answer, Connection, Server
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.resp import LARGE, MAX_ANSWER
 
@@ -18,8 +18,8 @@
 _NOTES = {b"hit": CacheNote.HIT, b"miss": CacheNote.MISS, b"pending": CacheNote.FETCH_OUT}
 
 
-def _whole_hit(data: bytes) -> tuple[bytes, CacheNote, bytes] | None:
-    """The value, the note and the load report, if these bytes are one whole hit; None: look closer.
+def _whole_hit(data: bytes) -> Answer | None:
+    """What the server brought, if these bytes are one whole hit; None: look closer.
 
     Nearly all answers are that, and every length in them is checked here.
     """
@@ -30,7 +30,7 @@
     rest = AFTER_VALUE.fullmatch(data, start + length)
     if length > LARGE or rest is None or len(rest[2]) != int(rest[1]):
         return None
-    return data[start : start + length], CacheNote.HIT, rest[2]
+    return Answer(data[start : start + length], CacheNote.HIT, rest[2])
 
 
 class CacheConnection(Connection):
@@ -56,7 +56,7 @@
             data = self._head + data
             self._head = b""
             if (whole := _whole_hit(data)) is not None:
-                self.finish(Outcome.OK, *whole)
+                self.finish(Outcome.OK, whole)
                 return
             if data[0] == 42 and b"\n$-1" not in data[:8]:
                 header = HEADER.match(data)
@@ -137,9 +137,9 @@
             report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else None
             value = None if streamed else answer[0]
             outcome = Outcome.MISS if answer[0] is None else Outcome.OK
-            self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None, report)
+            self.finish(outcome, Answer(value, _NOTES.get(note) if isinstance(note, bytes) else None, report))
         elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.is_probe:
-            self.finish(Outcome.OK, None, None, answer)
+            self.finish(Outcome.OK, Answer(report=answer))
         else:
             self.spoil("sent an answer of an unknown form")
 
@@ -147,4 +147,4 @@
         """An error line; a load report may stand last in it."""
         last = text.rpartition(" ")[2]
         report = last.encode() if "=" in last else None
-        self.finish(Outcome.FULL if text.startswith("BUSY") else Outcome.ERROR, None, None, report)
+        self.finish(Outcome.FULL if text.startswith("BUSY") else Outcome.ERROR, Answer(report=report))
--- a/pebblepass/daemon/lag.py
+++ b/pebblepass/daemon/lag.py
@@ -5,50 +5,50 @@
 import asyncio
 from collections.abc import Callable
 
-BEAT_S = 0.02
-SLACK_S = 0.002  # a beat this late is on time: the loop counts in milliseconds
-MEMORY_S = 2.0  # for which the longest lag is held
+BEAT_NS = 20_000_000
+SLACK_NS = 2_000_000  # a beat this late is on time: the loop counts in milliseconds
+MEMORY_NS = 2_000_000_000  # for which the longest lag is held
 
 
 class LoopLag:
     """A regular beat, and by how much it comes late."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, told: Callable[[int], None]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, now: Callable[[], int], told: Callable[[int], None]
+    ) -> None:
         """`told` is given the longest lag of late, in nanoseconds, when it changes."""
-        self._loop, self._told = loop, told
-        self._total = 0
+        self._loop, self._now, self._told = loop, now, told
+        self._sum = self._said = 0
         self._longest = self._before = 0  # in this span of memory, and in the one before
-        self._said = 0
-        now = loop.time()
-        self._turns_at = now + MEMORY_S
-        self._due = now + BEAT_S
-        self._timer = loop.call_at(self._due, self._beat)
-
-    @property
-    def total(self) -> int:
+        self._turns_at = now() + MEMORY_NS
+        self._wait()
+
+    def _wait(self) -> None:
+        self._due = self._now() + BEAT_NS
+        self._timer = self._loop.call_later(BEAT_NS / 1e9, self._beat)
+
+    def total(self, now: int) -> int:
         """Nanoseconds that the loop has been held up since the start, with what no beat has told yet.
 
         Whether sockets are read or timers run first after a hold-up is the loop's affair.
         """
-        late = self._loop.time() - self._due
-        return self._total + int(late * 1e9) if late > SLACK_S else self._total
+        late = now - self._due
+        return self._sum + late if late > SLACK_NS else self._sum
 
     def _beat(self) -> None:
-        now = self._loop.time()
+        now = self._now()
         late = now - self._due
-        if late > SLACK_S:
-            lag = int(late * 1e9)
-            self._total += lag
-            self._longest = max(self._longest, lag)
+        if late > SLACK_NS:
+            self._sum += late
+            self._longest = max(self._longest, late)
         if now >= self._turns_at:
-            self._turns_at = now + MEMORY_S
+            self._turns_at = now + MEMORY_NS
             self._before, self._longest = self._longest, 0
         longest = max(self._longest, self._before)
         if longest != self._said:
             self._said = longest
             self._told(longest)
-        self._due = now + BEAT_S
-        self._timer = self._loop.call_at(self._due, self._beat)
+        self._wait()
 
     def close(self) -> None:
         """Stop."""
--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pebblepass.daemon.upstream import Connection, Server
+from pebblepass.daemon.upstream import Answer, Connection, Server
 from pebblepass.decisions import Outcome
 from pebblepass.wire.http import HttpError, HttpReader
 from pebblepass.wire.resp import LARGE, MAX_ANSWER
@@ -35,11 +35,11 @@
         self._body.clear()
         self.retired = not self.answer_done() or self.retired
         if status == 200:
-            self.finish(Outcome.OK, value, None, report)
+            self.finish(Outcome.OK, Answer(value, None, report))
         elif status in _NEVER_RAN and not_started:
-            self.finish(Outcome.FULL, None, None, report)
+            self.finish(Outcome.FULL, Answer(report=report))
         else:
-            self.finish(Outcome.ERROR, None, None, report)
+            self.finish(Outcome.ERROR, Answer(report=report))
 
     def body_starts(self, length: int | None) -> None:
         """Pass a long value on as it comes; a short one, or one of unknown length, is gathered."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -14,11 +14,10 @@
 from pebblepass.daemon.deadlines import Deadline, Deadlines
 from pebblepass.daemon.lag import LoopLag, after_news
 from pebblepass.daemon.origin import OriginConnection
-from pebblepass.daemon.upstream import Exchange, Pool, ValueSource
+from pebblepass.daemon.upstream import Answer, Exchange, Pool, ValueSource
 from pebblepass.decisions import (
     Action,
     AttemptEnded,
-    CacheNote,
     ClientGone,
     Event,
     Fail,
@@ -72,10 +71,12 @@
 class Attempt(Exchange):
     """One attempt at a request."""
 
-    def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
+    def __init__(
+        self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool, now: int
+    ) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
-        self._sent_at, self._lag_before = host.now(), host.lag.total
+        self._sent_at, self._lag_before = now, host.lag.total(now)
         self._latency = self._length = 0  # until a long value's first bytes; that value's length
         self._source: ValueSource | None = None
         self._came_at = 0.0
@@ -123,7 +124,7 @@
 
     def _elapsed(self, now: int) -> int:
         """The time that the server took: what this router's own loop was held up is not held against it."""
-        return max(now - self._sent_at - (self._host.lag.total - self._lag_before), 1)
+        return max(now - self._sent_at - (self._host.lag.total(now) - self._lag_before), 1)
 
     def value_came(self, data: bytes) -> None:
         """Pass on a part of a long value."""
@@ -153,17 +154,12 @@
         """Stop: nobody reads the value."""
         self.give_up(Outcome.CANCELLED)
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
         """The first OK is the client's answer; the module is told of every end."""
         if self._timer is not None:
             self._timer.cancel()
         host, request, now = self._host, self._request, self._host.now()
+        value, note, report = answer
         reply, ledger = request.reply, host.ledger
         request.out -= 1
         if self._source is not None:
@@ -219,17 +215,11 @@
             return http.request("GET", path, f"{address[0]}:{address[1]}")
         return resp.command(b"INFO", b"load") if reports else resp.command(b"PING")
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
         """Tell the module."""
         self._timer.cancel()
         latency = self._host.now() - self._sent_at
-        load = self._host.load(report or value)
+        load = self._host.load(answer.report or answer.value)
         self._host.tell(ProbeEnded(self._server, outcome, latency, load))
 
 
@@ -258,7 +248,7 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._loads: dict[bytes, tuple[float, ...] | None] = {}
-        self.lag = LoopLag(loop, lambda lag: self.tell(RouterLate(lag)))
+        self.lag = LoopLag(loop, self.now, lambda lag: self.tell(RouterLate(lag)))
 
     @property
     def owed(self) -> int:
@@ -446,7 +436,7 @@
             log.error("the module sent a request that is over")
             return
         now = self.now()
-        attempt = Attempt(self, request, action.server, action.server in self._origins)
+        attempt = Attempt(self, request, action.server, action.server in self._origins, now)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -7,7 +7,7 @@
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterator
-from typing import Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
@@ -30,6 +30,17 @@
         """Go on reading."""
 
 
+class Answer(NamedTuple):
+    """What a server brought, as far as it did."""
+
+    value: bytes | None = None
+    note: CacheNote | None = None
+    report: bytes | None = None
+
+
+NOTHING = Answer()
+
+
 class Exchange:
     """One command or HTTP request to a server and what comes of it; told of its end exactly once."""
 
@@ -44,13 +55,7 @@
         """Write the request down; called when the connection for it is at hand."""
 
     @abstractmethod
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
         """Take the end."""
 
     def value_started(self, length: int, source: ValueSource) -> None:
@@ -59,17 +64,11 @@
     def value_came(self, data: bytes) -> None:
         """Take a part of it."""
 
-    def end(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def end(self, outcome: Outcome, answer: Answer = NOTHING) -> None:
         """End it, unless it has ended."""
         if not self.over:
             self.over, self.connection = True, None
-            self.ended(outcome, value, note, report)
+            self.ended(outcome, answer)
 
     def give_up(self, outcome: Outcome) -> None:
         """End it before its answer has come."""
@@ -134,19 +133,13 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def finish(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def finish(self, outcome: Outcome, answer: Answer = NOTHING) -> None:
         """End the exchange with its answer; the connection is free."""
         exchange, self.exchange = self.exchange, None
         self._kept, self._answering = True, False
         self.server.pool.released(self)
         if exchange is not None:
-            exchange.end(outcome, value, note, report)
+            exchange.end(outcome, answer)
 
     def spoil(self, reason: str) -> None:
         """End the exchange for an answer that can't be read, and the connection with it."""
--- a/pebblepass/figures/ledger.py
+++ b/pebblepass/figures/ledger.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -83,29 +83,14 @@
 
     def copy(self) -> Account:
         """These figures as they are now."""
-        return Account(
-            self.request_class,
-            self.namespace,
-            self.taken,
-            self.served_in_aim,
-            self.served_late,
-            self.refused.copy(),
-            self.failed.copy(),
-            self.gone,
-            self.attempts.copy(),
-            self.fetches,
-            self.bytes_taken,
-            self.bytes_served,
-            self.latency.copy(),
-        )
+        copies = {name: getattr(self, name).copy() for name in ("refused", "failed", "attempts", "latency")}
+        return replace(self, **copies)
 
     @property
     def closed(self) -> int:
         """All that stand in an account other than open."""
         done = self.served_in_aim + self.served_late + self.gone
-        if self.refused:
-            done += sum(self.refused.values())
-        return done + sum(self.failed.values()) if self.failed else done
+        return done + sum(self.refused.values()) + sum(self.failed.values())
 
 
 _Entry = tuple[str, str, int, int, str, int]
@@ -135,11 +120,11 @@
     ) -> None:
         """`aims`: each class's aim in nanoseconds; `told` is called with each breach as it happens."""
         self._aims = aims
-        self._namespaces = frozenset(namespaces)
+        self._names: dict[str | None, str] = {name: name for name in namespaces}
         self._accounts: dict[tuple[str, str], Account] = {
             (name, namespace): Account(name, namespace)
             for name in aims
-            for namespace in (*self._namespaces, OTHER)
+            for namespace in (*self._names.values(), OTHER)
         }
         self._entries: dict[str, _Entry] = {}
         # The daybooks: moves that are checked, and not yet posted to their accounts.
@@ -169,7 +154,7 @@
         path: str,
     ) -> None:
         """Enter a request that is owed a final answer by `due`."""
-        name = namespace if namespace in self._namespaces else OTHER
+        name = self._names.get(namespace, OTHER)
         entry = (request_class, name, now, due, path, size)
         if request in self._entries:
             self._breach(BreachKind.TWICE_TAKEN, now, request, entry)
@@ -208,7 +193,7 @@
         failed: str = "",
     ) -> None:
         """Take a request and close it in one move: one that is never given to the decisions."""
-        account = self._accounts[request_class, namespace if namespace in self._namespaces else OTHER]
+        account = self._accounts[request_class, self._names.get(namespace, OTHER)]
         account.taken += 1
         account.bytes_taken += size
         if refused:
@@ -218,7 +203,7 @@
 
     def attempt(self, request_class: str, namespace: str | None, outcome: str, to_origin: bool) -> None:
         """Count the end of an attempt; it may come long after its request was closed."""
-        name = namespace if namespace in self._namespaces else OTHER
+        name = self._names.get(namespace, OTHER)
         self._attempts.append((request_class, name, outcome, to_origin))
 
     def _post(self) -> None:
@@ -280,8 +265,7 @@
         for row in rows:
             if row["class"] not in self._aims:
                 continue
-            namespace = row["namespace"] if row["namespace"] in self._namespaces else OTHER
-            account = self.accounts[row["class"], namespace]
+            account = self._accounts[row["class"], self._names.get(row["namespace"], OTHER)]
             account.taken += row["taken"]
             account.served_in_aim += row["served_in_aim"]
             account.served_late += row["served_late"]
--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -349,6 +349,10 @@
         """Return the virtual time in seconds."""
         return self._now
 
+    def time_ns(self) -> int:
+        """Return the virtual time in nanoseconds."""
+        return int(self._now * 1e9)
+
     def unix_ns(self) -> int:
         """Return the virtual Unix time in nanoseconds."""
         return UNIX_START_NS + int((self._now - START_S) * 1e9)
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -126,9 +126,6 @@
         return int(digits), end + 2
 
 
-_LENGTHS = [b"$%d" % length for length in range(MAX_KNOWN)]
-
-
 def _one_read(data: bytes) -> list[bytes] | None:
     """The words, if these bytes are one whole read and nothing else; None: look closer.
 
@@ -142,9 +139,9 @@
     _, _, name, at_key, key, at_id, request, at_info, info, _ = parts
     whole = (
         len(name) == 6
-        and at_key == _LENGTHS[len(key)]
-        and at_id == _LENGTHS[len(request)]
-        and at_info == _LENGTHS[len(info)]
+        and at_key == b"$%d" % len(key)
+        and at_id == b"$%d" % len(request)
+        and at_info == b"$%d" % len(info)
     )
     return [name, key, request, info] if whole else None
 
--- a/tests/daemon/test_deadlines.py
+++ b/tests/daemon/test_deadlines.py
@@ -18,16 +18,16 @@
 
 
 def made(loop: VirtualLoop) -> Deadlines:
-    return Deadlines(loop, lambda: int(loop.time() * 1e9))
+    return Deadlines(loop, loop.time_ns)
 
 
 def test_none_comes_early_or_more_than_a_step_late_in_whatever_order_they_are_set() -> None:
     async def work(loop: VirtualLoop) -> None:
         deadlines, rng, off = made(loop), random.Random(7), []
-        start = int(loop.time() * 1e9)
+        start = loop.time_ns()
         for _ in range(500):
             due = start + rng.randrange(0, 300 * MS)
-            deadlines.add(due, lambda due=due: off.append(int(loop.time() * 1e9) - due))  # type: ignore[misc]
+            deadlines.add(due, lambda due=due: off.append(loop.time_ns() - due))  # type: ignore[misc]
         await asyncio.sleep(0.4)
         assert len(off) == 500
         assert min(off) >= 0
@@ -39,7 +39,7 @@
 def test_one_that_is_set_before_all_others_does_not_wait_for_them() -> None:
     async def work(loop: VirtualLoop) -> None:
         deadlines, seen = made(loop), []
-        start = int(loop.time() * 1e9)
+        start = loop.time_ns()
         deadlines.add(start + 500 * MS, lambda: seen.append("late"))
         deadlines.add(start + 5 * MS, lambda: seen.append("soon"))
         await asyncio.sleep(0.1)
@@ -53,7 +53,7 @@
 def test_one_set_by_another_s_callback_comes_also_when_it_is_past() -> None:
     async def work(loop: VirtualLoop) -> None:
         deadlines, seen = made(loop), []
-        now = int(loop.time() * 1e9)
+        now = loop.time_ns()
 
         def first() -> None:
             seen.append("first")
@@ -69,7 +69,7 @@
 def test_a_callback_that_fails_takes_none_with_it(caplog: pytest.LogCaptureFixture) -> None:
     async def work(loop: VirtualLoop) -> None:
         deadlines, seen = made(loop), []
-        due = int(loop.time() * 1e9) + MS
+        due = loop.time_ns() + MS
 
         def fails() -> None:
             raise ValueError("on purpose")
@@ -91,7 +91,7 @@
 
     async def work(loop: VirtualLoop) -> None:
         deadlines, held = made(loop), Held()
-        seen, there = weakref.ref(held), deadlines.add(int(loop.time() * 1e9) + 50 * MS, held.due)
+        seen, there = weakref.ref(held), deadlines.add(loop.time_ns() + 50 * MS, held.due)
         there.cancel()
         del held
         gc.collect()
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -10,14 +10,14 @@
 
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.origin import OriginConnection
-from pebblepass.daemon.upstream import PER_SERVER, Exchange, Pool
-from pebblepass.decisions import CacheNote, Outcome
+from pebblepass.daemon.upstream import PER_SERVER, Answer, Exchange, Pool
+from pebblepass.decisions import Outcome
 from pebblepass.standins.ports import take_port
 from pebblepass.wire import http, resp
 from pebblepass.wire.address import Address
 from tests.sockets import MISS, PATIENCE_S, hit, http_answer
 
-Answer = Callable[[bytes], bytes]
+Answers = Callable[[bytes], bytes]
 
 
 class Ask(Exchange):
@@ -33,14 +33,8 @@
             return http.request("GET", "/" + self.name.decode(), "origin")
         return resp.command(b"KV.GET", self.name, self.name, b"c=get,t=acme,d=1000")
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
-        self.end_came.set_result((outcome, value))
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
+        self.end_came.set_result((outcome, answer.value))
 
     async def came(self) -> tuple[Outcome, bytes | None]:
         return await asyncio.wait_for(asyncio.shield(self.end_came), PATIENCE_S)
@@ -51,7 +45,7 @@
 
     def __init__(self, pool: Pool, is_http: bool) -> None:
         self.pool, self._http = pool, is_http
-        self.answer: Answer = hit
+        self.answer: Answers = hit
         self.open = self.accepted = 0
         self.seen: list[bytes] = []
 
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -6,10 +6,10 @@
 from typing import Any, cast
 
 import pytest
-from hypothesis import example, given, strategies
+from hypothesis import given, strategies
 
 from pebblepass.daemon.caches import CacheConnection
-from pebblepass.daemon.upstream import Exchange, Server
+from pebblepass.daemon.upstream import Answer, Exchange, Server
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
 from tests.sockets import MISS, hit
@@ -24,14 +24,8 @@
     def request_bytes(self, address: Address) -> bytes:
         return b""
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
-        self.seen.append((outcome, value, note, report))
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
+        self.seen.append((outcome, *answer))
 
 
 class NoPool:
@@ -75,14 +69,12 @@
 
 
 @given(strategies.binary(max_size=12), strategies.data())
-@example(b"", None)
 def test_one_byte_changed_is_judged_the_same_whole_as_byte_by_byte(
-    value: bytes, data: strategies.DataObject | None
+    value: bytes, data: strategies.DataObject
 ) -> None:
     answer = bytearray(hit(value))
-    if data is not None:
-        at = data.draw(strategies.integers(0, len(answer) - 1))
-        answer[at] = data.draw(strategies.sampled_from(b"\r\n$*-0123459hx"))
+    at = data.draw(strategies.integers(0, len(answer) - 1))
+    answer[at] = data.draw(strategies.sampled_from(b"\r\n$*-0123459hx"))
     whole, pieces = judged(bytes(answer), len(answer)), judged(bytes(answer), 1)
     # Where the whole holds more than one answer the connection is given up, which pieces can't tell.
     assert whole[0] == pieces[0]
--- a/tests/figures/test_service.py
+++ b/tests/figures/test_service.py
@@ -21,17 +21,15 @@
 from pebblepass.figures.webhook import MOST_WAITING
 from pebblepass.operator import FiguresSection
 from pebblepass.rehearsal.clock import VirtualLoop
+from pebblepass.standins.ports import take_port
 from tests.decisions.cases import MS, settings
 from tests.virtual import played
 
 HOST = "127.0.0.1"
 
 
-async def free_listen(loop: asyncio.AbstractEventLoop) -> str:
-    server = await loop.create_server(asyncio.Protocol, HOST, 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    return f"{HOST}:{port}"
+def free_listen() -> str:
+    return f"{HOST}:{take_port()}"
 
 
 class Running:
@@ -89,7 +87,7 @@
     async def work(loop: VirtualLoop) -> None:
         posts: list[tuple[float, dict[str, Any]]] = []
         hook, _ = await hook_server(loop, posts, lambda _: b"HTTP/1.1 204 X\r\n\r\n")
-        running = Running(loop, listen=await free_listen(loop), webhook=hook)
+        running = Running(loop, listen=free_listen(), webhook=hook)
         address = await running.start()
         reader, _ = await subscribed(address)
         begun = loop.time()
@@ -110,7 +108,7 @@
 
 def test_a_request_that_is_never_closed_is_told_within_a_tenth_of_a_second() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         reader, _ = await subscribed(await running.start())
         begun = loop.time()
         running.take("q", due_ms=500)
@@ -125,7 +123,7 @@
 
 def test_a_subscriber_that_never_reads_is_dropped_and_delays_nobody() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         address = await running.start()
         _, silent = await subscribed(address)
         assert isinstance(silent.transport, asyncio.ReadTransport)
@@ -146,7 +144,7 @@
 
 def test_who_subscribes_later_is_told_what_nobody_has_taken_note_of() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         address = await running.start()
         for number in range(3):
             running.ledger.leave(f"nobody-{number}", running.now())
@@ -161,7 +159,7 @@
 
 def test_figures_and_metrics_tell_the_same() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         address = await running.start()
         for number in range(4):
             running.take(f"q{number}")
@@ -203,7 +201,7 @@
 )
 def test_what_cannot_be_answered_is_told_plainly(words: str, status: int) -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         assert (await get(await running.start(), words))[0] == status
         running.service.stop(closing=True)
 
@@ -212,7 +210,7 @@
 
 def test_junk_long_heads_and_too_many_connections_end_in_an_answer_and_a_close() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         address = await running.start()
         for junk in (b"\x00\xff\r\n\r\n", b"GET /" + b"x" * MOST_HEAD):
             reader, writer = await asyncio.open_connection(*address)
@@ -437,8 +435,7 @@
 
     async def work() -> None:
         loop = asyncio.get_running_loop()
-        listen = await free_listen(loop)
-        section = FiguresSection(listen=listen, directory=str(tmp_path), snapshot_every_s=0.1)
+        section = FiguresSection(listen=free_listen(), directory=str(tmp_path), snapshot_every_s=0.1)
         service = FiguresService(loop, section, "n1", settings(), time.time_ns, "epoch-1")
         bound = await service.start(time.monotonic_ns, lambda: ())
         assert bound is not None
@@ -456,7 +453,7 @@
 
 def test_pipelined_pages_are_answered_in_their_order() -> None:
     async def work(loop: VirtualLoop) -> None:
-        running = Running(loop, listen=await free_listen(loop))
+        running = Running(loop, listen=free_listen())
         reader, writer = await asyncio.open_connection(*await running.start())
         for page in ("metrics", "nothing", "figures"):
             writer.write(b"GET /%b HTTP/1.1\r\nHost: r\r\n\r\n" % page.encode())
