Ask every loop of a router for its nanoseconds, with no second way

The host took the loop's own nanosecond clock where there was one and made one of the other clock elsewhere; both loops that a router runs on have it.

--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -6,7 +6,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, cast
 from urllib.parse import quote
 
 from pebblepass.daemon.caches import CacheConnection
@@ -38,7 +38,6 @@
     Subscribe,
     TimerFired,
 )
-from pebblepass.decisions.interface import NS_PER_S
 from pebblepass.membership.registry import Listing
 from pebblepass.wire import http, resp
 from pebblepass.wire.address import Address
@@ -57,6 +56,13 @@
 log = logging.getLogger("pebblepass")
 
 
+class Clocked(Protocol):
+    """A loop that tells its time in nanoseconds too, as the daemon's and the rehearsals' do."""
+
+    def time_ns(self) -> int:
+        """The loop's time."""
+
+
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
@@ -230,7 +236,7 @@
         self, loop: asyncio.AbstractEventLoop, settings: Settings, seed: int, pool: Pool, max_open: int
     ) -> None:
         self.loop, self.settings = loop, settings
-        self.now: Callable[[], int] = getattr(loop, "time_ns", lambda: int(loop.time() * NS_PER_S))
+        self.now: Callable[[], int] = cast(Clocked, loop).time_ns
         """The loop's time in nanoseconds."""
         self.call_at = Deadlines(loop, self.now).add
         """Calls back once the clock shows a time; never before."""
