Let the module know a command's keys, a second copy, and what nobody has

Need: reads of many keys go through the one decision module. One scan's misses must not flood the store, a slow key is worth a second copy where the class allows one, and a key that the store does not know was taken for the store's error, which cut everybody's limits.

Change: a read may name its command, of which four fetches are out at a time; those that wait ask the cache again once another's fetch of their key is stored. AttemptSlow asks for a second copy at the slot's next sound and warm server. A 404 or 410 of the store on a read is a miss: it is told to all that wait for that fetch, and is a good answer of the store. Settings read secondCopies and streamsPerConn.

--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -8,6 +8,7 @@
 from pebblepass.wire.resp import LARGE, MAX_ANSWER
 
 _NEVER_RAN = (503, 504)
+_NOT_THERE = (404, 410)
 
 
 class OriginConnection(Connection, HttpReader):
@@ -36,6 +37,8 @@
         self.retired = not self.answer_done() or self.retired
         if status == 200:
             self.finish(Outcome.OK, Answer(value, None, report))
+        elif status in _NOT_THERE and self.exchange is not None and not self.exchange.is_write:
+            self.finish(Outcome.MISS, Answer(report=report))
         elif status in _NEVER_RAN and not_started:
             self.finish(Outcome.FULL, Answer(report=report))
         else:
--- a/pebblepass/decisions/__init__.py
+++ b/pebblepass/decisions/__init__.py
@@ -3,6 +3,7 @@
 from pebblepass.decisions.interface import (
     Action,
     AttemptEnded,
+    AttemptSlow,
     CacheNote,
     ClientGone,
     Effect,
@@ -34,6 +35,7 @@
 __all__ = [
     "Action",
     "AttemptEnded",
+    "AttemptSlow",
     "CacheNote",
     "ClientGone",
     "Effect",
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -130,6 +130,10 @@
     may_probe: bool = False
     load_fields: tuple[str, ...] = ()
     """The names of the values in a load report, in order."""
+    second_copies: bool = False
+    """Whether a second copy of a request may be sent while the first one runs."""
+    per_connection: int = 1
+    """How many requests one connection to a cache server may carry at a time."""
 
     def __post_init__(self) -> None:
         _require(bool(self.classes), "classes", "must name at least one class")
@@ -139,6 +143,7 @@
         _require(self.cold_time >= 0, "cold_time", "must not be negative")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
+        _require(self.per_connection >= 1, "per_connection", "must be at least 1")
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +178,15 @@
     key: str | None = None
     write: bool = False
     retry: bool = False
+    command: str | None = None
+    """The command that this read belongs to, where one asks for many keys."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSlow:
+    """A read's attempt takes long, and its client can pay for a second copy."""
+
+    request: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,6 +247,7 @@
 Event = (
     ServersChanged
     | RequestArrived
+    | AttemptSlow
     | StreamStarted
     | AttemptEnded
     | ClientGone
@@ -260,6 +275,8 @@
     TIME = "time"
     ATTEMPTS = "attempts"
     STORE = "store"
+    MISSING = "missing"
+    """The origin says that nobody has the key: known, and no fault of anybody's."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -37,6 +37,7 @@
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
 DEAD = -0.02
+COMMAND_FETCHES = 4  # fetches that one command's keys may have out at the origin
 
 
 class Pace:
@@ -219,12 +220,21 @@
         self.limit = max(self.floor, used * CUT ** min(max(self.excess, 0.5), 2.0))
 
 
+class Command:
+    """The keys of one command: how many are open, how many are being fetched, and which wait for that."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.open, self.fetching = name, 0, 0
+        self.waiting: deque[Request] = deque()
+
+
 class Request:
     """An open request; it lives on after its final answer until its attempt has ended."""
 
     __slots__ = (  # noqa: RUF023
         "id", "key", "deadline", "write", "cls", "guard", "slot", "sends", "sent_at", "share",
         "failed", "node", "ran", "fetching", "refetching", "out", "leads", "waiting", "done",
+        "command", "queued", "twin",
     )  # fmt: skip
 
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
@@ -236,6 +246,9 @@
         self.node: Node | None = None
         self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
         self.fetching = self.refetching = self.out = self.leads = self.waiting = self.done = False
+        self.command: Command | None = None
+        self.queued = False  # stands in its command's line for a fetch
+        self.twin: Node | None = None  # asked for a second copy while the first is out
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -271,6 +284,7 @@
         self._heat, self._usage = Heat(), Heat()  # by slot; by tenant
         self._requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}
+        self._commands: dict[str, Command] = {}
         aim = min(cls.aim for cls in settings.classes)
         self._width, self._last_cut = (
             math.inf,
@@ -298,6 +312,8 @@
                 self._timer(event.token)
             case api.RouterLate():
                 self._lag = event.lag
+            case api.AttemptSlow() if event.request in self._requests:
+                self._send_twin(self._requests[event.request])
             case api.ClientGone() if event.request in self._requests:
                 self._finish(self._requests[event.request])
         return self._actions
@@ -340,6 +356,9 @@
         request = Request(event, self._classes[event.request_class], guard)
         request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
         self._requests[request.id] = request
+        if event.command is not None:
+            request.command = self._commands.setdefault(event.command, Command(event.command))
+            request.command.open += 1
         if request.write and self._settings.origin_kind is not None:
             self._fetch(request)
         else:
@@ -395,11 +414,62 @@
 
     def _missed(self, request: Request) -> None:
         flight = None if request.key is None else self._flights.get(request.key)
-        if flight is None or request.write:
+        command = request.command
+        if flight is not None and not request.write:
+            flight.append(request)
+        elif command is not None and command.fetching >= COMMAND_FETCHES:
+            command.waiting.append(request)  # else one scan's misses would queue at the origin all at once
+            request.queued = True
+        else:
             self._fetch(request)
+            return
+        self._wait(request, request.deadline - self._now)
+
+    def _next_fetch(self, command: Command) -> None:
+        """One of a command's fetches is over: those that wait for it go on."""
+        while command.waiting and command.fetching < COMMAND_FETCHES:
+            waiter = command.waiting.popleft()
+            if waiter.queued and waiter.waiting:
+                waiter.queued = waiter.waiting = False
+                self._missed(waiter)
+
+    def _stored(self, key: str) -> None:
+        """A fetch has come back: those that wait for a fetch of their own of this key ask the cache again."""
+        queued = [w for command in self._commands.values() for w in command.waiting if w.key == key]
+        for waiter in queued:
+            if waiter.queued and waiter.waiting:
+                waiter.queued = waiter.waiting = False
+                self._route(waiter)
+
+    def _send_twin(self, request: Request) -> None:
+        """Ask the next server of the slot for a second copy; the first good answer counts."""
+        idle = request.twin is None and request.out and not (request.fetching or request.done)
+        if not idle or not self._settings.second_copies or request.cls.effect is not Effect.SAFE:
+            return
+        for node in self._candidates(request):
+            # Only a sound and warm server: a copy is a luxury.
+            sound = node.chance(self._now) >= 1.0 and self._caches.warmth(node, self._now) >= 1.0
+            if node is not request.node and node not in request.failed and sound and self._may_try(request):
+                request.sends += 1
+                request.twin = node
+                node.load += 1
+                self._actions.append(api.Send(request.id, node.entry.id))
+                return
+
+    def _twin_ended(self, request: Request, node: Node, event: api.AttemptEnded) -> None:
+        """A miss of the second copy says nothing while the first is out; else it stands for both."""
+        request.twin = None
+        node.load -= 1
+        self._judge_cache(node, event, event.latency > request.cls.aim)
+        request.failed.append(node)
+        if event.closed or request.done:
+            self._finish(request)
+        elif request.out or request.waiting:
+            return
+        elif event.outcome is Outcome.MISS and self._settings.origin_kind is not None:
+            self._missed(request)
         else:
-            flight.append(request)
-            self._wait(request, request.deadline - self._now)
+            self._route(request)
 
     def _fetch(self, request: Request) -> None:
         request.waiting = False
@@ -420,31 +490,49 @@
             self._flights.setdefault(request.key, [])
             request.leads = True
         request.fetching = True
+        if request.command is not None:
+            request.command.fetching += 1
         self._send(request, origins[0])
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self._requests.get(event.request)
         if request is None or request.node is None:
             return
-        node, fetched, outcome = request.node, request.fetching, event.outcome
+        if request.twin is not None and event.server == request.twin.entry.id:
+            self._twin_ended(request, request.twin, event)
+            return
+        command, fetched = request.command, request.fetching
+        self._first_ended(request, request.node, event)
+        if fetched and command is not None:
+            command.fetching -= 1
+            self._next_fetch(command)
+
+    def _judge_cache(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
+        # A kept connection that breaks says nothing of its server: nobody is judged by it, or asked less.
+        if late or not event.stale:
+            node.judge(event.outcome, late, self._now)
+            if event.outcome in (Outcome.OK, Outcome.MISS):
+                node.pace.learn(event.latency)
+                self._answers.learn(event.latency)
+
+    def _first_ended(self, request: Request, node: Node, event: api.AttemptEnded) -> None:
+        fetched, outcome = request.fetching, event.outcome
         request.out = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
-        # A kept connection that breaks says nothing of its server: nobody is judged by it, or asked less.
         stale = event.stale and not late
         if fetched:
             self._judge_fetch(node, event, late)
-        elif not stale:
-            node.judge(outcome, late, self._now)
-            if outcome in (Outcome.OK, Outcome.MISS):
-                node.pace.learn(event.latency)
-                self._answers.learn(event.latency)
+        else:
+            self._judge_cache(node, event, late)
         if not outcome.never_ran and request.ran is None:
             request.ran = node, request.sent_at
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
             self._missed(request)
+        elif fetched and outcome is Outcome.MISS:
+            self._nobody_has(request)
         elif fetched:
             self._fetch_failed(request, outcome, late, stale)
         else:
@@ -452,13 +540,21 @@
                 outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
             ):  # else it is asked once more
                 request.failed.append(node)
-            self._route(request)
+            if request.twin is None:  # else that one's end decides
+                self._route(request)
+
+    def _nobody_has(self, request: Request) -> None:
+        """The origin knows no such key: so it is for all that wait for this fetch."""
+        for each in (*(self._flights.get(request.key or "", ()) if request.leads else ()), request):
+            if not each.done:
+                self._actions.append(api.Fail(each.id, Reason.MISSING))
+                self._finish(each)
 
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
         if event.outcome is Outcome.TIMEOUT:
             self._fetches.learn(event.latency)
-        if event.outcome is Outcome.OK and not late:
+        if event.outcome in (Outcome.OK, Outcome.MISS) and not late:
             self._origin_bad -= self._origin_bad / BAD_SAMPLES
             self._fetches.learn(event.latency)
             self._width += 1 / self._width
@@ -503,6 +599,8 @@
             if not waiter.done:
                 waiter.waiting = False
                 (self._route if stored else self._missed)(waiter)
+        if stored and request.key is not None and self._commands:
+            self._stored(request.key)
 
     def _wait(self, request: Request, delay: int) -> None:
         request.waiting = True
@@ -521,7 +619,11 @@
 
     def _finish(self, request: Request, stored: bool = False) -> None:
         request.done, request.waiting = True, False
-        if not request.out:
+        if not request.out and request.twin is None:
             del self._requests[request.id]
+            if request.command is not None:
+                request.command.open -= 1
+                if not request.command.open:
+                    del self._commands[request.command.name]
         if request.leads:
             self._land(request, stored)
--- a/pebblepass/decisions/settings.py
+++ b/pebblepass/decisions/settings.py
@@ -60,6 +60,8 @@
         "retry_after": ceilings.get("retryAfter"),
         "max_retry_after": ceilings.get("maxRetryAfterNs"),
         "may_probe": ceilings.get("mayProbe"),
+        "second_copies": ceilings.get("secondCopies"),
+        "per_connection": ceilings.get("streamsPerConn"),
     }
     return api.Settings(
         classes=tuple(_request_class(entry) for entry in facts["classes"]),
