Read many keys in one command, each decided by the module, one answer in the order asked

Need: package tools ask for many index entries at once, each as a command of its own; and redis-py with its default settings could not even ping the router.

Change: KV.MGET, off unless [many_keys] asks for it. pebblepass/manykeys decides without I/O which keys are asked now (max-min over commands, bounds of keys and bytes), which travel together (parts by server, by its pace; a silent key frees those behind it and travels alone from then on), when a second copy is paid for, and what may be written. daemon/many.py is its shell. HELLO 2 and 3, CLIENT, SELECT 0, COMMAND, INFO, ECHO, AUTH, RESET and QUIT are answered; none is a request.

--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from pebblepass.figures.service import FiguresService
-    from pebblepass.operator import FiguresSection
+    from pebblepass.operator import FiguresSection, ManyKeysSection
 
 OPERATOR_VARIABLE = "PEBBLEPASS_OPERATOR"
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
@@ -34,6 +34,8 @@
         self._path, self._limit = environ.get(OPERATOR_VARIABLE), limit
         self.figures: FiguresSection | None = None
         """What the ledger is told; read at the start only."""
+        self.many_keys: ManyKeysSection | None = None
+        """Whether many keys are read at once, and within which bounds; read at the start only."""
 
     def apply(self) -> None:
         """Read the file and take it over, whole or not at all; raises ValueError in one plain line."""
@@ -48,7 +50,7 @@
             raise ValueError(str(error)) from None
         log.setLevel(operator.log.level.upper())
         self._limit.lines_a_second = operator.log.lines_per_second
-        self.figures = operator.figures
+        self.figures, self.many_keys = operator.figures, operator.many_keys
 
     def reload(self) -> None:
         """Read the file again; one that can't be used changes nothing."""
@@ -74,6 +76,8 @@
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
     daemon = Daemon(loop, config)
+    if operator.many_keys is not None:
+        daemon.read_many(operator.many_keys)
     terminated = asyncio.Event()
 
     def reload() -> None:
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -5,11 +5,15 @@
 import asyncio
 import logging
 from collections import deque
-from typing import Any, Protocol, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.wire.address import Address
-from pebblepass.wire.resp import LARGE, Command, CommandReader, parse_request
+from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
+
+if TYPE_CHECKING:
+    from pebblepass.daemon.greetings import Greeted
+    from pebblepass.daemon.many import ManyReads
 
 BACKLOG = 1024
 MAX_PIPELINE = 256
@@ -97,6 +101,18 @@
         connection.write(data)
         return True
 
+    @property
+    def in_turn(self) -> bool:
+        """Whether all answers ahead are written."""
+        replies = self._connection.replies
+        return bool(replies) and replies[0] is self
+
+    @property
+    def null(self) -> bytes:
+        """The null in the client's protocol."""
+        greeted = self._connection.greeted
+        return b"$-1\r\n" if greeted is None or greeted.protocol == 2 else b"_\r\n"
+
     def cut_off(self) -> None:
         """End a begun answer so that the client sees that it is not whole."""
         self._connection.abort()
@@ -124,7 +140,8 @@
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
         self.used_at = server.loop.time()
-        self._reader = CommandReader()
+        self._reader = CommandReader(server.many is not None)
+        self.greeted: Greeted | None = None
         self._reading = True
         self._reserved = 0  # set aside for the command under way
         self._begun_at = self.used_at  # the first command's time runs from the start of the connection
@@ -212,6 +229,9 @@
             return
         try:
             command = parse_request(words)
+        except UnknownCommandError:
+            self._take_other(words, reply)
+            return
         except ValueError as error:
             reply.send(b"-ERR %b\r\n" % str(error).encode())
             reply.forgotten()
@@ -224,6 +244,27 @@
             return
         self.server.host.request_arrived(command, reply)
 
+    def _take_other(self, words: list[bytes], reply: Reply) -> None:
+        """Take what is neither a read nor a write of one key."""
+        server = self.server
+        if server.many is not None and words[0].upper() == MANY:
+            self._last = self._last or self.refusing
+            server.many.arrived(words, reply, self.refusing)
+            return
+        # Loaded when the first client greets: those of the platform never do.
+        from pebblepass.daemon.greetings import Greeted, greet
+
+        if self.greeted is None:
+            server.greeted += 1
+            self.greeted = Greeted(server.greeted)
+        try:
+            answer = greet(words, self.greeted, server.host.ready, server.connected)
+        except UnknownCommandError as error:
+            answer = b"-ERR %b\r\n" % str(error).encode()
+        self._last = self._last or self.greeted.leaves
+        reply.send(answer)
+        reply.forgotten()
+
     def write(self, data: bytes) -> None:
         """Write to the client."""
         if self.transport is not None:
@@ -326,6 +367,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int) -> None:
         self.loop, self.host, self._limit = loop, host, limit
+        self.many: ManyReads | None = None
+        self.greeted = 0
+        """Connections on which a client has said something beside requests."""
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
 from pebblepass.daemon.clients import REFUSERS, ClientServer
 from pebblepass.daemon.config import Config, ConfigError, reload_discovery
@@ -16,6 +17,9 @@
 from pebblepass.membership.registry import Clock, Discovery, Listing, read_listing
 from pebblepass.wire.address import Address
 
+if TYPE_CHECKING:
+    from pebblepass.operator import ManyKeysSection
+
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 ACCEPT_S = 0.5
 MIDWAY_S = 0.65
@@ -61,6 +65,14 @@
             self.host.servers_changed(known)
         self._reloading: asyncio.Task[None] | None = None
 
+    def read_many(self, section: ManyKeysSection) -> None:
+        """Take reads of many keys; before the start."""
+        # Loaded only where the operator wants it.
+        from pebblepass.daemon.many import ManyReads
+
+        many = ManyReads(self._loop, self.host, self._pool, section, self._config.memory)
+        self.host.many = self.clients.many = many
+
     async def start(self) -> None:
         """Listen for clients and follow the list; raises OSError where the address can't be had."""
         await self.clients.listen(self._config.listen)
--- /dev/null
+++ b/pebblepass/daemon/many.py
@@ -0,0 +1,577 @@
+"""Reads of many keys on sockets: the thin shell round `pebblepass.manykeys`.
+
+Each key is a request of its own to the decision module, under the command's id and its number; its answer's
+bytes, as a single read would have them, are its entry in the command's answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from pebblepass.daemon.clients import Reply
+from pebblepass.daemon.lag import after_news
+from pebblepass.daemon.upstream import Answer, Exchange, Pool, ValueSource
+from pebblepass.decisions import AttemptSlow, Effect, Outcome
+from pebblepass.manykeys import (
+    Gathering,
+    HedgeBudget,
+    ManyKeys,
+    Part,
+    PartBounds,
+    Parts,
+    ShareBounds,
+    Shares,
+    State,
+    parse_many,
+)
+from pebblepass.wire.address import Address
+from pebblepass.wire.answers import AnswerError
+from pebblepass.wire.resp import LARGE, MANY, Command, command, read_command
+
+if TYPE_CHECKING:
+    from pebblepass.daemon.deadlines import Deadline
+    from pebblepass.daemon.router import Attempt, RouterHost
+    from pebblepass.operator import ManyKeysSection
+
+NS_PER_MS = 1_000_000
+PATH = "RESP2 client, many keys"
+RETRY_S = 0.01
+LOOK_AGAIN_NS = 5_000_000  # until a slow part is looked at again that is not the last one
+MEMORY_SHARE = 0.25  # of the router's memory at most, for what is gathered
+
+log = logging.getLogger("pebblepass")
+
+
+def key_number(command: Command) -> int:
+    """The number of a key in its command, by the id of its request."""
+    return int(command.id.rpartition(b".")[2])
+
+
+class KeyReply:
+    """Stands where a client's reply does, for one key of a command."""
+
+    __slots__ = ("_held", "_number", "_read", "request", "source")
+
+    def __init__(self, read: ManyRead, number: int) -> None:
+        self._read, self._number = read, number
+        self._held: list[bytes] = []
+        self.source: ValueSource | None = None
+        self.request: object = None
+
+    def send(self, data: bytes) -> None:
+        """Give the key's entry, or the end of its long value."""
+        read = self._read
+        if self.source is None:
+            read.ended(self._number, data)
+        else:
+            self.write(data)
+            self.source = None
+            read.stream_ended(self._number)
+
+    def start(self, data: bytes, source: ValueSource) -> None:
+        """Announce a long value: it waits for its turn."""
+        self.source = source
+        self._read.gathering.stream(self._number)
+        self.write(data)
+        source.pause()
+        self._read.streams[self._number] = self
+        self._read.reads.schedule(self._read)
+
+    def write(self, data: bytes) -> bool:
+        """Write a part of a long value, or hold it until its turn."""
+        if self._read.gathering.passes(self._number):
+            self._read.reply.write(data)
+            return True
+        self._held.append(data)
+        self._read.gathering.hold(len(data))
+        return False
+
+    def its_turn(self) -> None:
+        """The entries ahead have been written."""
+        for data in self._held:
+            self._read.gathering.hold(-len(data))
+            self._read.reply.write(data)
+        self._held.clear()
+        if self.source is not None and not self._read.paused:
+            self.source.resume()
+
+    def cut_off(self) -> None:
+        """The long value ended too early."""
+        self.source = None
+        for data in self._held:
+            self._read.gathering.hold(-len(data))
+        self._held.clear()
+        self._read.stream_broke(self._number)
+
+    def forgotten(self) -> None:
+        """Nothing is set aside for a single key's words."""
+
+    @property
+    def null(self) -> bytes:
+        """The null in its client's protocol."""
+        return self._read.reply.null
+
+
+class ManyRead:
+    """One command under way. As the source of its reply it is paused while its client takes nothing."""
+
+    def __init__(self, reads: ManyReads, command: ManyKeys, reply: Reply, now: int) -> None:
+        self.reads, self.command, self.reply = reads, command, reply
+        self.name = command.id.decode()
+        self.gathering = Gathering(command.keys, reads.shares.bounds.value)
+        self.deadline = now + command.timeout_ms * NS_PER_MS
+        self.paused = False
+        self.over = False
+        """Its client has left, or its answer is written."""
+        self.streams: dict[int, KeyReply] = {}
+        self.exchanges: dict[PartExchange, None] = {}
+        self.suspects: set[int] = set()
+        """Numbers on which a part has broken: from then on they travel alone."""
+        due = max(self.deadline - reads.margin, now)
+        self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self._time_up))
+
+    def request_id(self, number: int) -> str:
+        """The id of one key's request."""
+        return f"{self.name}.{number}"
+
+    def open_ids(self) -> list[str]:
+        """The ids of the keys that are owed their end."""
+        return [self.request_id(number) for number in self.gathering.unended()]
+
+    def pause(self) -> None:
+        """Its client can't take more: nothing more is asked for it, or read for it."""
+        self.paused = True
+        if self.reply.in_turn:  # else it waits for the answers ahead, and its keys may be asked meanwhile
+            self.reads.shares.stalls(self.gathering, self.reads.host.now())
+        for reply in self.streams.values():
+            if reply.source is not None:
+                reply.source.pause()
+
+    def resume(self) -> None:
+        """Its client takes again, or its turn on the connection has come."""
+        self.paused = False
+        self.reads.shares.reads(self.gathering)
+        for number, reply in self.streams.items():
+            if reply.source is not None and self.gathering.passes(number):
+                reply.source.resume()
+        self.reads.schedule(self)
+
+    def ended(self, number: int, entry: bytes) -> None:
+        """A key has its final answer."""
+        if not self.over:
+            self.gathering.end(number, entry)
+            self.reads.schedule(self)
+
+    def stream_ended(self, number: int) -> None:
+        """A long value is whole."""
+        self.streams.pop(number, None)
+        if self.over:
+            return
+        self.gathering.stream_ended(number)
+        self.reads.schedule(self)
+
+    def stream_broke(self, number: int) -> None:
+        """A long value broke off: before its turn it has failed alone, else the client must see it."""
+        self.streams.pop(number, None)
+        if self.over or self.gathering.state(number) is State.ENDED:
+            return
+        if not self.gathering.passes(number):
+            self.gathering.stream_broke(number, b"-ERR failed\r\n")
+            self.reads.schedule(self)
+            return
+        self.reads.close(self, "cut off")
+        self.reply.cut_off()
+
+    def write(self) -> None:
+        """Write what is due; the answer is over with its last entry."""
+        gathering, reply = self.gathering, self.reply
+        while not self.paused and not self.over:
+            due = gathering.due()
+            if due:
+                reply.write(b"".join(due))
+            number = gathering.turn()
+            if number is None:
+                break
+            stream = self.streams.get(number)
+            if stream is not None:
+                stream.its_turn()
+        if gathering.written and not self.over:
+            self.reads.forget(self)
+            reply.send(b"")
+
+    def _time_up(self) -> None:
+        """What is not answered is late; nothing more is sent for it."""
+        if self.over:
+            return
+        reads, gathering = self.reads, self.gathering
+        for number in gathering.time_up():
+            reads.give_up(self, number, "time")
+        reads.drop(self)
+        reads.schedule(self)
+
+
+class ManyReads:
+    """All commands under way in one router."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        host: RouterHost,
+        pool: Pool,
+        section: ManyKeysSection,
+        memory: int,
+    ) -> None:
+        """`memory`: the router's, in bytes."""
+        self.loop, self.host, self._pool = loop, host, pool
+        held = min(section.held_kib << 10, int(memory * MEMORY_SHARE))
+        self.shares = Shares(
+            ShareBounds(
+                keys=section.keys_in_flight,
+                keys_of_one=section.keys_of_one,
+                held=held,
+                held_of_one=max(held // 2, LARGE),
+                value=LARGE,
+                chunk=section.chunk,
+                commands=section.commands,
+            )
+        )
+        settings = host.settings
+        bounds = PartBounds(
+            keys=section.part_keys,
+            pipelined=min(section.part_keys, settings.per_connection),
+            words=section.part_kib << 10,
+            side_by_side=section.parts_of_server,
+        )
+        self.parts: Parts[Attempt] = Parts(bounds, min(cls.aim for cls in settings.classes))
+        self.hedges = HedgeBudget(section.hedge_share)
+        self.margin = section.margin_ms * NS_PER_MS
+        self._kinds = frozenset(section.node_kinds)
+        self._safe = {cls.name for cls in settings.classes if cls.effect is Effect.SAFE}
+        self._reads: dict[str, ManyRead] = {}
+        self._changed: dict[ManyRead, None] = {}
+        self._of: dict[Gathering, ManyRead] = {}
+        self._scheduled = False
+        self._retry: asyncio.TimerHandle | None = None
+
+    # Clients
+
+    def arrived(self, words: list[bytes], reply: Reply, refusing: bool) -> None:
+        """Take a command whole, or answer it with one line."""
+        host = self.host
+        try:
+            command = parse_many(words)
+        except ValueError as error:
+            self._answer(reply, b"-ERR %b\r\n" % str(error).encode())
+            return
+        cls = command.fields["c"]
+        if cls not in host.classes:
+            self._answer(reply, b"-ERR unknown class\r\n")
+            return
+        if cls not in self._safe:
+            self._answer(reply, b"-ERR many keys are read in a class that is safe to repeat\r\n")
+            return
+        read = ManyRead(self, command, reply, host.now())
+        if refusing:
+            self._turn_away(read, b"-BUSY\r\n", refused="connections")
+        elif read.name in self._reads or any(map(host.knows, read.open_ids())):
+            # Danger: two requests under one id would share attempts, and one would have the other's answer.
+            self._turn_away(read, b"-ERR duplicate id\r\n", failed="duplicate id")
+        elif not self.shares.join(read.gathering):
+            self._turn_away(read, b"-BUSY\r\n", refused="commands of many keys")
+        else:
+            self._take(read)
+
+    def _answer(self, reply: Reply, line: bytes) -> None:
+        reply.send(line)
+        reply.forgotten()
+
+    def _turn_away(self, read: ManyRead, line: bytes, refused: str = "", failed: str = "") -> None:
+        read.over = True
+        read.timer.cancel()
+        self._answer(read.reply, line)
+        for number, key in enumerate(read.gathering.keys):
+            self.host.turned_away(read.command.read(number, key), refused, failed)
+
+    def _take(self, read: ManyRead) -> None:
+        host, command, now = self.host, read.command, self.host.now()
+        self._reads[read.name] = self._of[read.gathering] = read
+        if host.ledger is not None:
+            cls, tenant = command.fields["c"], command.fields.get("t")
+            for number, key in enumerate(read.gathering.keys):
+                size = command.key_size(key)
+                host.ledger.take(read.request_id(number), cls, tenant, now, read.deadline, size, PATH)
+        read.reply.request = read
+        read.reply.forgotten()
+        read.reply.start(read.gathering.head, read)
+        self.schedule(read)
+
+    def owns(self, request_id: str) -> bool:
+        """Whether this is the id of a key of a command under way."""
+        name, _, number = request_id.rpartition(".")
+        return name in self._reads and number.isdigit()
+
+    def open_ids(self) -> list[str]:
+        """The ids of all keys that are owed their end."""
+        return [name for read in self._reads.values() for name in read.open_ids()]
+
+    def client_gone(self, read: ManyRead) -> None:
+        """The client has left."""
+        self.close(read, "")
+
+    def close(self, read: ManyRead, failed: str) -> None:
+        """Nothing is owed any more; each key that has not ended is gone, or has failed for this reason."""
+        if read.over:
+            return
+        read.over = True
+        for number in list(read.gathering.unended()):
+            self.give_up(read, number, failed)
+        self.drop(read)
+        self.forget(read)
+
+    def give_up(self, read: ManyRead, number: int, failed: str) -> None:
+        """End one key without an answer of the module's."""
+        host, request_id = self.host, read.request_id(number)
+        request = host.request(request_id)
+        if request is not None:
+            host.let_go(request, failed)
+        elif host.ledger is not None:  # it was never asked
+            if failed:
+                host.ledger.fail(request_id, host.now(), failed)
+            else:
+                host.ledger.leave(request_id, host.now())
+
+    def drop(self, read: ManyRead) -> None:
+        """What waits to be sent for a command is not sent."""
+        for attempt in self.parts.drop(read):
+            attempt.end(Outcome.MOOT)
+        for exchange in list(read.exchanges):
+            if exchange.connection is None:
+                exchange.end(Outcome.MOOT)
+
+    def forget(self, read: ManyRead) -> None:
+        """A command is over."""
+        read.over = True
+        read.timer.cancel()
+        self._reads.pop(read.name, None)
+        self._of.pop(read.gathering, None)
+        self._changed.pop(read, None)
+        self.shares.leave(read.gathering)
+        self.schedule()
+
+    # Turns
+
+    def schedule(self, read: ManyRead | None = None) -> None:
+        """Something has changed: deal, cut parts and write in a turn of their own, soon."""
+        if read is not None:
+            self._changed[read] = None
+        if not self._scheduled:
+            self._scheduled = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._scheduled = False
+        changed, self._changed = self._changed, {}
+        for read in changed:
+            read.write()
+        dealt = self.shares.deal(self.host.room)
+        if dealt:
+            for gathering, numbers in dealt:
+                for number in numbers:
+                    self._ask(self._of[gathering], number)
+            # One chunk a turn: single requests have their turns in between.
+            self.schedule()
+        elif self.shares.starved() and self._retry is None:
+            # Nothing of ours is out whose end would lead here again: single requests take all the room.
+            self._retry = self.loop.call_later(RETRY_S, self._try_again)
+        self._send_parts()
+
+    def _try_again(self) -> None:
+        self._retry = None
+        stalled = self.shares.to_shed(self.host.now())
+        if stalled is not None:
+            log.warning("a client takes nothing of its answer, and others wait for the memory")
+            self._of[stalled].reply.cut_off()
+        self.schedule()
+
+    def _ask(self, read: ManyRead, number: int) -> None:
+        if read.over:
+            return
+        key = read.gathering.keys[number]
+        command = read.command.read(number, key)
+        reply = KeyReply(read, number)
+        self.host.open_key(read.request_id(number), command, reply, read.deadline, read)
+
+    def offer(self, read: ManyRead, attempt: Attempt, server: str, timeout: int) -> None:
+        """The module has chosen a server for a key."""
+        command = attempt.command
+        number = key_number(command)
+        suspect = number in read.suspects
+        self.parts.offer(server, read, attempt, number, len(command.key) + 1, timeout, suspect)
+        self.schedule()
+
+    def _send_parts(self) -> None:
+        for attempt in self.parts.blocked():
+            attempt.spare(always=True)  # never sent: it says nothing
+            attempt.end(Outcome.MOOT)
+        for part in self.parts.due(self.host.now(), self._speaks):
+            self.hedges.attempted(len(part.items))
+            exchange = PartExchange(self, part)
+            self._pool.submit(part.server, exchange)
+
+    # The list of servers
+
+    def _speaks(self, server: str) -> bool:
+        """Whether a server takes many keys in one command."""
+        return self.host.kinds.get(server) in self._kinds
+
+    def left(self, server: str) -> None:
+        """A server drains or is gone: nothing that waits for it is sent there."""
+        for attempt in self.parts.server_left(server):
+            attempt.end(Outcome.CONNECT_FAILED)
+
+    def abandon(self) -> None:
+        """The router ends."""
+        for read in list(self._reads.values()):
+            self.forget(read)
+
+
+class PartExchange(Exchange):
+    """Keys of one command on one connection: as one command, or as single reads one behind another."""
+
+    def __init__(self, reads: ManyReads, part: Part[Attempt]) -> None:
+        self._reads, self._part = reads, part
+        read = part.owner
+        assert isinstance(read, ManyRead)
+        self._read: ManyRead = read
+        read.exchanges[self] = None
+        host, now = reads.host, reads.host.now()
+        for attempt in part.items:
+            attempt.begin(now, self)
+        due = min(now + part.patience, read.deadline) if part.patience else read.deadline
+        self._timer = host.call_at(due, lambda: after_news(reads.loop, self._timed_out))
+        self._held_up = host.call_at(now + part.held_up_after, self._is_held_up)
+        self._slow: Deadline | None = None
+        if part.slow_after and host.settings.second_copies:
+            self._slow = host.call_at(now + part.slow_after, self._is_slow)
+
+    def request_bytes(self, address: Address) -> bytes:
+        """The reads of those keys that still want an answer."""
+        part, now = self._part, self._reads.host.now()
+        part.heard_at = now  # the wait for a connection is not the server's silence
+        left = max((self._read.deadline - now) // NS_PER_MS, 1)
+        wanted = []
+        for attempt in part.items:
+            if attempt.wanted:
+                wanted.append(attempt)
+            else:
+                attempt.end(Outcome.MOOT)
+        part.items = wanted
+        if not wanted:
+            self._reads.loop.call_soon(self.give_up, Outcome.MOOT)
+            return b""
+        reads = [attempt.command for attempt in wanted]
+        info = reads[0].info_for(left)
+        if not part.as_one:
+            return b"".join([read_command(read.key, read.id, info) for read in reads])
+        self.array_expected = True
+        return command(MANY, b"%d" % len(reads), *[read.key for read in reads], reads[0].id, info)
+
+    def array_begins(self, count: int) -> None:
+        """Each key has its answer in the array; an error line stands for all of them."""
+        self.array_expected = False
+        if count != len(self._part.items) and count >= 0:
+            # Danger: answers that are too few or too many would be taken for other keys'.
+            raise AnswerError("answers to another number of keys")
+        self._one_line = count < 0
+
+    _one_line = False
+
+    def takes_more(self, outcome: Outcome, answer: Answer) -> bool:
+        """Take one key's answer."""
+        part = self._part
+        if self._one_line:
+            return False
+        attempt = part.items[part.answered]
+        attempt.took(self._reads.parts.answer(part, part.sent_at + attempt.elapsed()))
+        if part.answered + 1 == len(part.items):
+            return False
+        part.answered += 1
+        attempt.end(outcome, answer)
+        return True
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        """The next key's value is a long one."""
+        self._part.items[self._part.answered].value_started(length, source)
+
+    def value_came(self, data: bytes) -> None:
+        """A part of it has come."""
+        self._part.items[self._part.answered].value_came(data)
+
+    def _is_slow(self) -> None:
+        """The last part out is slower than usual: its keys may have a second copy each, while that lasts."""
+        if self.over:
+            return
+        reads, part, gathering = self._reads, self._part, self._read.gathering
+        left = part.left
+        if gathering.waiting or gathering.open > len(left):
+            again = max(part.slow_after, LOOK_AGAIN_NS)
+            self._slow = reads.host.call_at(reads.host.now() + again, self._is_slow)
+            return
+        for attempt in left:
+            if attempt.wanted and reads.hedges.spend():
+                reads.host.tell(AttemptSlow(attempt.request_id))
+
+    def _is_held_up(self) -> None:
+        """Keys behind a silent one are asked for elsewhere, where the module wants that; it is waited for."""
+        if self.over:
+            return
+        reads, part = self._reads, self._part
+        connection, now = self.connection, reads.host.now()
+        wait, behind = (part.held_up_after, []) if connection is None else reads.parts.held_up(part, now)
+        if wait:
+            self._held_up = reads.host.call_at(now + wait, self._is_held_up)
+            return
+        head = part.left[0]
+        if not head.streaming:  # else its own client holds it up, and no server
+            self._suspect([head, *behind] if part.as_one else [head])
+        if connection is not None and behind:
+            connection.retired = True  # what still comes behind that key's answer is nobody's
+        for attempt in behind:
+            attempt.spare(head.streaming)
+            attempt.end(Outcome.TIMEOUT)
+        if part.as_one and not part.answered:
+            self.give_up(Outcome.TIMEOUT)  # which of its keys is withheld can't be told
+        reads.schedule()
+
+    def _suspect(self, attempts: list[Attempt]) -> None:
+        """From now on these keys travel alone: one of them holds others up."""
+        self._read.suspects.update(key_number(attempt.command) for attempt in attempts)
+
+    def _timed_out(self) -> None:
+        # A long value that has begun goes on; those behind it have been taken out by then.
+        if not self.over and not (self._part.left and self._part.left[0].streaming):
+            self.give_up(Outcome.TIMEOUT)
+
+    def ended(self, outcome: Outcome, answer: Answer) -> None:
+        """What is unanswered ends as the connection did; the last answer is its key's own."""
+        part = self._part
+        self._timer.cancel()
+        self._held_up.cancel()
+        if self._slow is not None:
+            self._slow.cancel()
+        self._read.exchanges.pop(self, None)
+        left = part.left
+        self._reads.parts.end(part)
+        if left:
+            if outcome not in (Outcome.OK, Outcome.MISS, Outcome.CONNECT_FAILED):
+                self._suspect(left if part.as_one else left[:1])
+            left[0].stale = self.stale
+            left[0].end(outcome, answer)
+            for attempt in left[1:]:
+                # One event is held against the server once: on the first of its keys.
+                if outcome is not Outcome.CONNECT_FAILED:
+                    attempt.spare()
+                attempt.end(outcome)
+        self._reads.schedule()
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -25,6 +25,7 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Reason,
     Refuse,
     RequestArrived,
     Router,
@@ -44,6 +45,7 @@
 from pebblepass.wire.resp import Command
 
 if TYPE_CHECKING:
+    from pebblepass.daemon.many import KeyReply, ManyRead, ManyReads, PartExchange
     from pebblepass.figures.ledger import Ledger
 
 NS_PER_MS = 1_000_000
@@ -66,10 +68,21 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("accounted", "attempts", "closed", "command", "deadline", "id", "out", "reply", "streaming")
+    __slots__ = (  # noqa: RUF023
+        "id", "command", "reply", "deadline", "read", "attempts", "out", "closed", "streaming", "accounted",
+    )  # fmt: skip
 
-    def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        command: Command,
+        reply: Reply | KeyReply,
+        deadline: int,
+        read: ManyRead | None = None,
+    ) -> None:
+        """`read`: the read of many keys that it belongs to."""
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
+        self.read = read
         self.attempts = self.out = 0
         self.closed = self.streaming = self.accounted = False
 
@@ -87,9 +100,59 @@
         self._source: ValueSource | None = None
         self._came_at = 0.0
         self._timer: Deadline | asyncio.TimerHandle | None = None
+        self._part: PartExchange | None = None  # that carries it, where it has no connection for itself
+        self._spared = False
+        self.is_write = request.command.value is not None
         request.attempts += 1
         request.out += 1
 
+    # What a part needs to know of those that it carries
+
+    @property
+    def command(self) -> Command:
+        """What is asked."""
+        return self._request.command
+
+    @property
+    def request_id(self) -> str:
+        """Whose attempt it is."""
+        return self._request.id
+
+    @property
+    def wanted(self) -> bool:
+        """Whether its request has no final answer yet."""
+        return not self._request.closed
+
+    @property
+    def streaming(self) -> bool:
+        """Whether a long value of it is under way."""
+        return self._source is not None
+
+    def begin(self, now: int, part: PartExchange) -> None:
+        """It leaves now, in this part."""
+        self._part = part
+        self._sent_at, self._lag_before = now, self._host.lag.total(now)
+
+    def elapsed(self) -> int:
+        """Nanoseconds that its server has had."""
+        return self._elapsed(self._host.now())
+
+    def took(self, latency: int) -> None:
+        """Its share of the time that its part took."""
+        self._latency = self._latency or latency
+
+    def spare(self, always: bool = False) -> None:
+        """Its end says nothing of its server that another's has not said; but for one after another."""
+        self._spared = always or self._number == 0
+        self._latency = self._latency or 1
+
+    def give_up(self, outcome: Outcome) -> None:
+        """End it before its answer has come; what shares its connection ends with it."""
+        if self._part is not None and not self.over:
+            self._part.give_up(outcome)
+        else:
+            super().give_up(outcome)
+
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
         self._timer = self._host.call_at(due, self._timed_out)
@@ -192,7 +255,7 @@
             fields = request.command.fields
             ledger.attempt(fields["c"], fields.get("t"), outcome.value, self._to_origin)
         latency = self._latency or self._elapsed(now)
-        load, stale = host.load(report), self.stale and outcome is Outcome.RESET
+        load, stale = host.load(report), self._spared or (self.stale and outcome is Outcome.RESET)
         event = AttemptEnded(
             request.id, self._number, self._server, outcome, request.closed, latency, note, load, stale
         )
@@ -245,12 +308,16 @@
         """Where every request is accounted for, if the operator wants that; whoever owns it sets it."""
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
+        self.many: ManyReads | None = None
+        """Reads of many keys, if the operator wants them; whoever owns them sets it."""
         self._router = Router(settings, seed)
         self._pool, self._max_open = pool, max_open
-        self._classes = {cls.name for cls in settings.classes}
+        self.classes = {cls.name for cls in settings.classes}
         self._probe_timeout = min(cls.aim for cls in settings.classes)
         self._requests: dict[str, OpenRequest] = {}
         self._origins: set[str] = set()
+        self.kinds: dict[str, str] = {}
+        """The kinds of the servers that may be sent to."""
         self._events: deque[Event] = deque()
         self._handling = False
         self._loads: dict[bytes, tuple[float, ...] | None] = {}
@@ -263,11 +330,14 @@
 
     def open_requests(self) -> dict[str, None]:
         """The ids of the requests that are owed a final answer, or the rest of one, the oldest first."""
-        return {
+        found = {
             request.id: None
             for request in self._requests.values()
             if not request.closed or (request.streaming and not request.accounted)
         }
+        if self.many is not None:
+            found.update(dict.fromkeys(self.many.open_ids()))
+        return found
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
         """Read a load report; a server sends the same one until its next, so that those read are kept."""
@@ -286,9 +356,9 @@
         """Take a request: from here on it is owed one final answer."""
         request_id = command.id.decode("ascii")
         fields = command.fields
-        if fields["c"] not in self._classes:
+        if fields["c"] not in self.classes:
             reply.send(b"-ERR unknown class\r\n")
-        elif request_id in self._requests:
+        elif self.knows(request_id):
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.send(b"-ERR duplicate id\r\n")
             self.turned_away(command, failed="duplicate id")
@@ -298,35 +368,67 @@
         else:
             now = self.now()
             deadline = now + command.timeout_ms * NS_PER_MS
-            request = OpenRequest(request_id, command, reply, deadline)
-            reply.request = request
-            self._requests[request_id] = request
             if self.ledger is not None:
                 tenant = fields.get("t")
                 self.ledger.take(request_id, fields["c"], tenant, now, deadline, command.size, PATH)
-            tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
-            retry = fields.get("r") == "1"
-            self.tell(RequestArrived(request_id, fields["c"], deadline, tenant, key, write, retry))
+            self.open_key(request_id, command, reply, deadline)
             return
         reply.forgotten()
 
+    def open_key(
+        self,
+        request_id: str,
+        command: Command,
+        reply: Reply | KeyReply,
+        deadline: int,
+        read: ManyRead | None = None,
+    ) -> None:
+        """Give the module a request, or one key of a read of many; it is accounted for already."""
+        request = OpenRequest(request_id, command, reply, deadline, read)
+        reply.request = request
+        self._requests[request_id] = request
+        fields = command.fields
+        tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
+        retry, whole = fields.get("r") == "1", read.name if read is not None else None
+        self.tell(RequestArrived(request_id, fields["c"], deadline, tenant, key, write, retry, whole))
+
+    def knows(self, request_id: str) -> bool:
+        """Whether a request has this id that is owed an answer, or has attempts out still."""
+        return request_id in self._requests or (self.many is not None and self.many.owns(request_id))
+
+    def request(self, request_id: str) -> OpenRequest | None:
+        """The request of this id, if the module has it."""
+        return self._requests.get(request_id)
+
+    @property
+    def room(self) -> int:
+        """How many more requests may be open."""
+        return self._max_open - len(self._requests)
+
     def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
         """Account for a request that the module never hears of."""
         cls = command.fields["c"]
-        if self.ledger is not None and cls in self._classes:
+        if self.ledger is not None and cls in self.classes:
             tenant = command.fields.get("t")
             self.ledger.turn_away(cls, tenant, self.now(), command.size, PATH, refused, failed)
 
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
-        request = reply.request
-        if not isinstance(request, OpenRequest):
-            return
+        if isinstance(reply.request, OpenRequest):
+            self.let_go(reply.request)
+        elif self.many is not None and reply.request is not None:
+            self.many.client_gone(reply.request)
+
+    def let_go(self, request: OpenRequest, failed: str = "") -> None:
+        """Nothing is owed to this request any more: its client has left, or it has failed for this reason."""
         if self.ledger is not None and not request.accounted:
-            self.ledger.leave(request.id, self.now())
+            if failed:
+                self.ledger.fail(request.id, self.now(), failed)
+            else:
+                self.ledger.leave(request.id, self.now())
         request.closed = request.accounted = True
-        if isinstance(reply.source, Attempt):
-            reply.source.client_left()
+        if isinstance(request.reply.source, Attempt):
+            request.reply.source.client_left()
         self.settle(request)
         self.tell(ClientGone(request.id))
 
@@ -337,6 +439,8 @@
                 self.ledger.fail(request_id, self.now(), "router ended")
         for request in self._requests.values():
             request.closed = request.accounted = True
+        if self.many is not None:
+            self.many.abandon()
 
     def settle(self, request: OpenRequest) -> None:
         """Forget a request that is answered and has nothing out."""
@@ -378,10 +482,14 @@
                 (self._origins.add if is_origin else self._origins.discard)(server.id)
                 connect = OriginConnection if is_origin else CacheConnection
                 self._pool.list_server(server.id, listing.addresses[server.id], connect)
+                self.kinds[server.id] = server.kind
             else:
                 gone[server.id] = None
         for server_id in gone:
             self._pool.unlist_server(server_id)
+            self.kinds.pop(server_id, None)
+            if self.many is not None:
+                self.many.left(server_id)
 
     def discovery_failed(self) -> None:
         """Tell the module that a call of discovery failed."""
@@ -427,7 +535,10 @@
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
                 self._answer(action.request, b"-BUSY%b\r\n" % wait, refused=action.reason.value)
             case Fail():
-                self._answer(action.request, FAILED, failed=action.reason.value)
+                request = self._requests.get(action.request)
+                missing = action.reason is Reason.MISSING and request is not None
+                data = request.reply.null if missing and request is not None else FAILED
+                self._answer(action.request, data, failed=action.reason.value)
             case Subscribe():
                 self.subscribe()
             case Probe():
@@ -446,6 +557,9 @@
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
+        if request.read is not None and self.many is not None and action.server not in self._origins:
+            self.many.offer(request.read, attempt, action.server, action.timeout)
+            return
         due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
         attempt.wait_until(due)
         self._pool.submit(action.server, attempt)
--- /dev/null
+++ b/pebblepass/manykeys/__init__.py
@@ -0,0 +1,25 @@
+"""Reads of many keys: one command, split over the nodes, one answer in the order asked; no I/O, no clock.
+
+The decision module still chooses each key's server, and whether to try again; here it is decided how many
+keys of which command are asked now (`shares`), which of them travel together (`parts`), when a second copy is
+worth its price (`hedging`), and what goes into the answer (`gathering`).
+"""
+
+from pebblepass.manykeys.command import ManyKeys, parse_many
+from pebblepass.manykeys.gathering import Gathering, State
+from pebblepass.manykeys.hedging import HedgeBudget
+from pebblepass.manykeys.parts import Part, PartBounds, Parts
+from pebblepass.manykeys.shares import ShareBounds, Shares
+
+__all__ = [
+    "Gathering",
+    "HedgeBudget",
+    "ManyKeys",
+    "Part",
+    "PartBounds",
+    "Parts",
+    "ShareBounds",
+    "Shares",
+    "State",
+    "parse_many",
+]
--- a/pebblepass/operator/__init__.py
+++ b/pebblepass/operator/__init__.py
@@ -4,12 +4,13 @@
 """
 
 from pebblepass.operator.checked import FileError, decode_toml, describe, read_toml
-from pebblepass.operator.schema import FiguresSection, LogSection, Operator, load_operator
+from pebblepass.operator.schema import FiguresSection, LogSection, ManyKeysSection, Operator, load_operator
 
 __all__ = [
     "FiguresSection",
     "FileError",
     "LogSection",
+    "ManyKeysSection",
     "Operator",
     "decode_toml",
     "describe",
--- a/pebblepass/operator/schema.py
+++ b/pebblepass/operator/schema.py
@@ -42,11 +42,53 @@
     ] = ""
 
 
+class ManyKeysSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[many_keys]`: reads of many keys, `KV.MGET`. Without this section the command is unknown."""
+
+    keys_in_flight: Annotated[
+        int, msgspec.Meta(ge=1, le=100_000, description="keys asked at a time, over all commands")
+    ] = 512
+    keys_of_one: Annotated[
+        int, msgspec.Meta(ge=1, le=1024, description="keys asked at a time for one command")
+    ] = 128
+    commands: Annotated[
+        int, msgspec.Meta(ge=1, le=10_000, description="commands under way; further ones are refused")
+    ] = 256
+    chunk: Annotated[
+        int, msgspec.Meta(ge=1, le=1024, description="keys asked before other requests have their turn")
+    ] = 16
+    held_kib: Annotated[
+        int,
+        msgspec.Meta(
+            ge=128, le=1 << 20, description="memory for what is gathered, a quarter of the router's at most"
+        ),
+    ] = 16 << 10
+    part_keys: Annotated[int, msgspec.Meta(ge=1, le=1024, description="keys that go to a node together")] = 32
+    part_kib: Annotated[int, msgspec.Meta(ge=1, le=64, description="words of keys that go together")] = 16
+    parts_of_server: Annotated[
+        int, msgspec.Meta(ge=1, le=16, description="parts that one node has under way")
+    ] = 3
+    margin_ms: Annotated[
+        int, msgspec.Meta(ge=1, le=1000, description="the answer leaves so long before its time is up")
+    ] = 25
+    hedge_share: Annotated[
+        float,
+        msgspec.Meta(ge=0, le=0.5, description="second copies of slow keys, as a share of all attempts"),
+    ] = 0.02
+    node_kinds: Annotated[
+        tuple[str, ...],
+        msgspec.Meta(description="kinds of nodes that take KV.MGET themselves; to others single reads go"),
+    ] = ()
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file; a section that is left out leaves its subsystem as it is by default."""
 
     log: Annotated[LogSection, msgspec.Meta(description="the log")] = LogSection()
     figures: Annotated[FiguresSection | None, msgspec.Meta(description="the ledger")] = None
+    many_keys: Annotated[ManyKeysSection | None, msgspec.Meta(description="reads of many keys, KV.MGET")] = (
+        None
+    )
 
 
 def load_operator(path: str | Path) -> Operator:
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -14,6 +14,12 @@
 LARGE = 64 << 10
 MAX_PARTS = 16
 MAX_WORD = 16 << 10  # all words of a command but its value together: far more than any has
+MANY = b"KV.MGET"
+MAX_KEYS = 1024  # of one command that reads many
+MAX_LISTED = (
+    16 << 10
+)  # words of such a command that are cut, so that one too long is answered and passed over
+LEAST_WORD = 6  # bytes that a word takes up at least, with its header and ends
 MAX_KNOWN = 1024  # bytes of a command that is read in one step
 MAX_HEADER = 16  # a length line: its mark, digits and end
 
@@ -22,6 +28,10 @@
     """The stream breaks the protocol's framing; the text is for the client."""
 
 
+class UnknownCommandError(ValueError):
+    """A command of another name than a read's or a write's."""
+
+
 @dataclass(slots=True)  # not frozen: one is made for each request, and that takes three times as long
 class Command:
     """A request as it came: what is passed on, and the list of names and values taken apart."""
@@ -40,24 +50,27 @@
         value = len(self.value) if self.value is not None else 0
         return len(self.key) + len(self.id) + len(self.info) + value
 
-    def as_bytes(self, left_ms: int) -> bytes:
-        """The command to pass on, its list telling by `d` how long the router will wait."""
+    def info_for(self, left_ms: int) -> bytes:
+        """The list to pass on, telling by `d` how long the router will wait."""
         info = b"," + self.info
         start = info.index(b",d=") + 3
         end = info.find(b",", start)
-        info = b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
-        key, name = self.key, self.id
+        return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
+
+    def as_bytes(self, left_ms: int) -> bytes:
+        """The command to pass on, with what is left of its time."""
+        info = self.info_for(left_ms)
         if self.value is not None:
-            return command(self.name, key, name, info, self.value)
-        # In one format, as nearly all are reads.
-        sizes = len(key), key, len(name), name, len(info), info
-        return b"*4\r\n$6\r\nKV.GET\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % sizes
+            return command(self.name, self.key, self.id, info, self.value)
+        return read_command(self.key, self.id, info)
 
 
 class CommandReader:
     """Cuts a client's bytes into commands, each a list of its words."""
 
-    def __init__(self) -> None:
+    def __init__(self, many: bool = False) -> None:
+        """`many`: whether reads of many keys are taken, which have more words than any other command."""
+        self._many = many
         self._held = bytearray()
         self.need = 0
         """Bytes that the command under way is known to need; 0 between commands."""
@@ -75,6 +88,8 @@
             self.need = 0
         elif (words := _one_read(data)) is not None:
             return [words]
+        if self._many and (words := _one_list(data)) is not None:
+            return [words]
         commands: list[list[bytes]] = []
         position = 0
         while position < len(data):
@@ -92,7 +107,7 @@
 
     def _command(self, data: bytes, begin: int) -> tuple[list[bytes], int]:
         count, position = self._length(data, begin, b"*")
-        if position and not 1 <= count <= MAX_PARTS:
+        if position and not 1 <= count <= (MAX_LISTED if self._many else MAX_PARTS):
             raise FramingError("invalid multibulk length")
         words: list[bytes] = []
         while position and len(words) < count:
@@ -106,13 +121,16 @@
             if position - begin > MAX_VALUE + MAX_WORD:
                 raise FramingError("command too long")
             if len(data) < position:
-                self.need = position - begin
+                # The words behind it take up room too: else a long list that trickles in is cut at each byte.
+                self.need = position - begin + LEAST_WORD * (count - len(words) - 1)
                 return [], 0
             if data[position - 2 : position] != b"\r\n":
                 raise FramingError("bulk string without its end")
             words.append(data[start : position - 2])
+            if count > MAX_PARTS and words[0].upper() != MANY:
+                raise FramingError("invalid multibulk length")
         if not position:
-            self.need = len(data) - begin + 1
+            self.need = len(data) - begin + max(LEAST_WORD * (count - len(words) - 1), 1)
         return words, position
 
     def _length(self, data: bytes, begin: int, mark: bytes) -> tuple[int, int]:
@@ -146,25 +164,55 @@
     return [name, key, request, info] if whole else None
 
 
+def _one_list(data: bytes) -> list[bytes] | None:
+    """The words, if these bytes are one whole read of many keys and nothing else; None: look closer."""
+    if not data.startswith(b"*") or data.find(MANY, 0, MAX_HEADER * 2) < 0 or not data.endswith(b"\r\n"):
+        return None
+    parts = data.split(b"\r\n")
+    words = parts[2::2]
+    if (
+        parts[0] != b"*%d" % len(words)
+        or len(parts) != 2 * len(words) + 2
+        or len(data) > MAX_VALUE + MAX_WORD
+    ):
+        return None
+    headers = parts[1:-1:2]
+    whole = words[0] == MANY and all(
+        header == b"$%d" % len(word) for header, word in zip(headers, words, strict=True)
+    )
+    return words if whole else None
+
+
 def parse_request(words: list[bytes]) -> Command:
     """Take a request apart; raises ValueError in one plain line."""
     name = words[0].upper()
     if name not in (b"KV.GET", b"KV.SET"):
-        raise ValueError("unknown command")
+        raise UnknownCommandError("unknown command")
     is_write = name == b"KV.SET"
     if len(words) != (5 if is_write else 4):
         raise ValueError(f"wrong number of arguments for {name.decode()}")
     key, request, info = words[1:4]
     if len(key) + len(request) + len(info) > MAX_WORD:
         raise ValueError("key, id or list too long")
-    # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not request or not info or not _plain(request + info):
-        raise ValueError("id and list must be plain text")
+    check_key(key)
+    fields, timeout = read_fields(request, info)
+    return Command(name, key, request, info, words[4] if is_write else None, fields, timeout)
+
+
+def check_key(key: bytes) -> None:
+    """Raise ValueError for a key that is none."""
     try:
         if not key or not key.decode().isprintable() or b" " in key:
             raise ValueError("key must be text without spaces")
     except UnicodeDecodeError:
         raise ValueError("key must be text without spaces") from None
+
+
+def read_fields(request: bytes, info: bytes) -> tuple[dict[str, str], int]:
+    """The list of names and values beside an id, and the client's patience in milliseconds; ValueError."""
+    # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
+    if not request or not info or not _plain(request + info):
+        raise ValueError("id and list must be plain text")
     try:
         fields: dict[str, str] = dict([part.split("=", 1) for part in info.decode("ascii").split(",")])
     except ValueError:
@@ -174,13 +222,19 @@
         raise ValueError("d must be a number of milliseconds")
     if not fields.get("c"):
         raise ValueError("c must name a class")
-    return Command(name, key, request, info, words[4] if is_write else None, fields, int(timeout))
+    return fields, int(timeout)
 
 
 def _plain(word: bytes) -> bool:
     return word.isascii() and word.decode("ascii").isprintable()
 
 
+def read_command(key: bytes, name: bytes, info: bytes) -> bytes:
+    """Encode one read: in one format, as nearly all commands are reads."""
+    sizes = len(key), key, len(name), name, len(info), info
+    return b"*4\r\n$6\r\nKV.GET\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % sizes
+
+
 def bulk(value: bytes) -> bytes:
     """Encode one bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
--- /dev/null
+++ b/tests/manykeys/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of many keys."""
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 
+from pebblepass.daemon.clients import Reply
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.router import OpenRequest, RouterHost
 from pebblepass.decisions.interface import Send, ServerState
@@ -218,6 +219,7 @@
 
     def settle(self, request: OpenRequest) -> None:
         if request.closed and not request.out and request.id in self._requests:
+            assert isinstance(request.reply, Reply)
             request.reply._connection.write(b"-ERR and again\r\n")
         super().settle(request)
 
