--- a/pebblepass/manykeys/parts.py
+++ b/pebblepass/manykeys/parts.py
@@ -237,8 +237,14 @@
             held.running -= 1
         if held.turns:
             self._ready[part.server] = None
-        elif held.gone and not held.running and not held.stuck:
-            del self._servers[part.server]
+        else:
+            self._forget(part.server, held)
+
+    def _forget(self, server: str, held: _Server[Item]) -> None:
+        # Danger: servers come and go all day, each under a new name.
+        if held.gone and not (held.running or held.stuck or held.turns):
+            del self._servers[server]
+            self._ready.pop(server, None)
 
     def server_left(self, server: str) -> list[Item]:
         """A server drains or is gone: what waits for it is not sent; returns that."""
@@ -249,9 +255,8 @@
         held.queues.clear()
         held.turns.clear()
         self._ready.pop(server, None)
-        held.gone = True  # Danger: servers come and go all day, each under a new name.
-        if not held.running and not held.stuck:
-            del self._servers[server]
+        held.gone = True
+        self._forget(server, held)
         return left
 
     def drop(self, owner: Hashable) -> list[Item]:
--- a/tests/manykeys/test_reads.py
+++ b/tests/manykeys/test_reads.py
@@ -156,6 +156,30 @@
     on_site(test)
 
 
+def test_what_clients_say_beside_requests_is_counted_nowhere() -> None:
+    async def test(site: Site) -> None:
+        client = await site.client()
+        for text in (
+            "HELLO 3",
+            "CLIENT SETINFO LIB-NAME x",
+            "SELECT 0",
+            "PING",
+            "COMMAND DOCS",
+            "INFO",
+            "NO",
+        ):
+            client.send(*text.encode().split())
+            await client.answer()
+        assert site.ledger.figures() == []
+        assert site.attempts == []
+        assert marks(await client.many(["a", "none"])) == ["a of q", "miss"]
+
+    def fate(place: str, key: str, time: int) -> str:
+        return {"none": "none" if place == "store" else "miss"}.get(key, "ok")
+
+    on_site(test, fate=fate)
+
+
 def test_an_id_that_is_open_is_turned_away_in_both_directions() -> None:
     async def test(site: Site) -> None:
         client, other = await site.client(), await site.client()
--- a/tests/wire/test_resp.py
+++ b/tests/wire/test_resp.py
@@ -68,3 +68,46 @@
     assert read.as_bytes(7) == command(b"KV.GET", b"key", b"id", passed)
     write = parse_request([b"KV.SET", b"key", b"id", info, b"a\r\nvalue"])
     assert write.as_bytes(7) == command(b"KV.SET", b"key", b"id", passed, b"a\r\nvalue")
+
+
+def long_list(count: int) -> bytes:
+    words = [b"KV.MGET", b"%d" % count, *[b"pkg/%d/1.0" % n for n in range(count)], b"q", b"c=get,d=5"]
+    return command(*words)
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000, 1 << 20])
+def test_a_read_of_many_keys_is_cut_alike_in_any_pieces(size: int) -> None:
+    data, cuts = long_list(500), 0
+    reader = CommandReader(many=True)
+    found: list[list[bytes]] = []
+    for at in range(0, len(data), size):
+        if reader.need and len(reader._held) + size >= reader.need:
+            cuts += 1
+        found += reader.feed(data[at : at + size])
+    assert [len(words) for words in found] == [504]
+    assert found[0][2] == b"pkg/0/1.0"
+    assert not reader.broken
+    # Each look at what is held goes a good part further: it would be one for each byte otherwise.
+    assert cuts < 40
+
+
+def test_long_lists_are_for_reads_of_many_keys_only_and_only_where_they_are_taken() -> None:
+    other = command(*[b"KV.GET"] * 20)
+    for reader, data in (
+        (CommandReader(many=True), other),
+        (CommandReader(), long_list(20)),
+        (CommandReader(many=True), b"*20000\r\n$7\r\nKV.MGET\r\n"),
+    ):
+        assert reader.feed(data) == []
+        assert reader.broken == "invalid multibulk length"
+
+
+@pytest.mark.parametrize("at", range(0, 60))
+def test_a_byte_changed_in_a_long_list_is_judged_the_same_whole_as_byte_by_byte(at: int) -> None:
+    data = bytearray(long_list(20))
+    data[at] = ord("7")
+    whole, pieces = CommandReader(many=True), CommandReader(many=True)
+    found = whole.feed(bytes(data))
+    parts = [words for byte in data for words in ([] if pieces.broken else pieces.feed(bytes([byte])))]
+    assert found == parts
+    assert whole.broken == pieces.broken
