Let keys of one command travel together, on one timer a part, and measure them

Need: keys were dealt 16 at a time over all commands and sent at once, so that nearly every part was one key: a key of a long list cost as much as a single read (83 against 87 us).

--- a/benchmarks/stand.py
+++ b/benchmarks/stand.py
@@ -40,7 +40,14 @@
     """A router's settings, with these namespaces in equal portions."""
     return {
         "balancers": 1,
-        "ceilings": {"mostTries": 4, "dialTimeoutNs": 500_000_000, "idleCloseNs": 10**10, "maxOpen": 5000},
+        "ceilings": {
+            "mostTries": 4,
+            "dialTimeoutNs": 500_000_000,
+            "idleCloseNs": 10**10,
+            "maxOpen": 5000,
+            "streamsPerConn": 32,
+            "secondCopies": True,
+        },
         "classes": [
             {"name": "fetch", "aimNs": 10**9, "giveUpNs": 3 * 10**9, "semantics": "retryable"},
             {
@@ -97,6 +104,11 @@
         """Take what came."""
         self._reader.feed(data)
         while (words := self._reader.gets()) is not False:
+            if words[0] == b"KV.MGET":
+                keys = words[2:-2]
+                Node.asked += len(keys)
+                self._transport.write(b"*%d\r\n%b" % (len(keys), b"".join(map(self._answer, keys))))
+                continue
             Node.asked += 1
             self._transport.write(self._answer(words[1]))
 
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -38,6 +38,8 @@
 NS_PER_MS = 1_000_000
 PATH = "RESP2 client, many keys"
 RETRY_S = 0.01
+TURNS = 12  # in which keys are dealt before short parts leave too
+NEVER = 1 << 63
 LOOK_AGAIN_NS = 5_000_000  # until a slow part is looked at again that is not the last one
 MEMORY_SHARE = 0.25  # of the router's memory at most, for what is gathered
 
@@ -253,6 +255,7 @@
         self._changed: dict[ManyRead, None] = {}
         self._of: dict[Gathering, ManyRead] = {}
         self._scheduled = False
+        self._turns = 0  # in a row in which keys were dealt
         self._retry: asyncio.TimerHandle | None = None
 
     # Clients
@@ -376,16 +379,18 @@
         for read in changed:
             read.write()
         dealt = self.shares.deal(self.host.room)
-        if dealt:
-            for gathering, numbers in dealt:
-                for number in numbers:
-                    self._ask(self._of[gathering], number)
+        self._turns = self._turns + 1 if dealt is not None else 0
+        if dealt is not None:
+            gathering, numbers = dealt
+            for number in numbers:
+                self._ask(self._of[gathering], number)
             # One chunk a turn: single requests have their turns in between.
             self.schedule()
         elif self.shares.starved() and self._retry is None:
             # Nothing of ours is out whose end would lead here again: single requests take all the room.
             self._retry = self.loop.call_later(RETRY_S, self._try_again)
-        self._send_parts()
+        # Parts wait for as many keys as come at once: a short part costs its server and this router as much.
+        self._send_parts(full_only=self._turns % TURNS != 0)
 
     def _try_again(self) -> None:
         self._retry = None
@@ -411,11 +416,11 @@
         self.parts.offer(server, read, attempt, number, len(command.key) + 1, timeout, suspect)
         self.schedule()
 
-    def _send_parts(self) -> None:
+    def _send_parts(self, full_only: bool) -> None:
         for attempt in self.parts.blocked():
             attempt.spare(always=True)  # never sent: it says nothing
             attempt.end(Outcome.MOOT)
-        for part in self.parts.due(self.host.now(), self._speaks):
+        for part in self.parts.due(self.host.now(), self._speaks, full_only):
             self.hedges.attempted(len(part.items))
             exchange = PartExchange(self, part)
             self._pool.submit(part.server, exchange)
@@ -450,11 +455,30 @@
         for attempt in part.items:
             attempt.begin(now, self)
         due = min(now + part.patience, read.deadline) if part.patience else read.deadline
-        self._timer = host.call_at(due, lambda: after_news(reads.loop, self._timed_out))
-        self._held_up = host.call_at(now + part.held_up_after, self._is_held_up)
-        self._slow: Deadline | None = None
-        if part.slow_after and host.settings.second_copies:
-            self._slow = host.call_at(now + part.slow_after, self._is_slow)
+        self._due = due
+        hedged = part.slow_after and host.settings.second_copies
+        self._slow_at = now + part.slow_after if hedged else due
+        self._held_up_at = now + part.held_up_after
+        self._look_at()
+
+    def _look_at(self) -> None:
+        """One timer for all that a part waits for: most are over before any of it."""
+        at = min(self._due, self._slow_at, self._held_up_at)
+        self._timer = self._reads.host.call_at(at, lambda: after_news(self._reads.loop, self._look))
+
+    def _look(self) -> None:
+        if self.over:
+            return
+        now = self._reads.host.now()
+        if now >= self._due:
+            self._due = NEVER
+            self._timed_out()
+        if not self.over and now >= self._held_up_at:
+            self._held_up_at = self._see_whether_held_up(now)
+        if not self.over and now >= self._slow_at:
+            self._slow_at = self._see_whether_slow(now)
+        if not self.over and min(self._due, self._slow_at, self._held_up_at) < NEVER:
+            self._look_at()
 
     def request_bytes(self, address: Address) -> bytes:
         """The reads of those keys that still want an answer."""
@@ -509,30 +533,29 @@
         """A part of it has come."""
         self._part.items[self._part.answered].value_came(data)
 
-    def _is_slow(self) -> None:
-        """The last part out is slower than usual: its keys may have a second copy each, while that lasts."""
-        if self.over:
-            return
+    def _see_whether_slow(self, now: int) -> int:
+        """The last part out is slower than usual: its keys may have a second copy each, while that lasts.
+
+        Returns when to look again.
+        """
         reads, part, gathering = self._reads, self._part, self._read.gathering
         left = part.left
         if gathering.waiting or gathering.open > len(left):
-            again = max(part.slow_after, LOOK_AGAIN_NS)
-            self._slow = reads.host.call_at(reads.host.now() + again, self._is_slow)
-            return
+            return now + max(part.slow_after, LOOK_AGAIN_NS)
         for attempt in left:
             if attempt.wanted and reads.hedges.spend():
                 reads.host.tell(AttemptSlow(attempt.request_id))
+        return NEVER
 
-    def _is_held_up(self) -> None:
-        """Keys behind a silent one are asked for elsewhere, where the module wants that; it is waited for."""
-        if self.over:
-            return
-        reads, part = self._reads, self._part
-        connection, now = self.connection, reads.host.now()
+    def _see_whether_held_up(self, now: int) -> int:
+        """Keys behind a silent one are asked for elsewhere, where the module wants that; it is waited for.
+
+        Returns when to look again.
+        """
+        reads, part, connection = self._reads, self._part, self.connection
         wait, behind = (part.held_up_after, []) if connection is None else reads.parts.held_up(part, now)
         if wait:
-            self._held_up = reads.host.call_at(now + wait, self._is_held_up)
-            return
+            return now + wait
         head = part.left[0]
         if not head.streaming:  # else its own client holds it up, and no server
             self._suspect([head, *behind] if part.as_one else [head])
@@ -544,6 +567,7 @@
         if part.as_one and not part.answered:
             self.give_up(Outcome.TIMEOUT)  # which of its keys is withheld can't be told
         reads.schedule()
+        return NEVER
 
     def _suspect(self, attempts: list[Attempt]) -> None:
         """From now on these keys travel alone: one of them holds others up."""
@@ -558,9 +582,6 @@
         """What is unanswered ends as the connection did; the last answer is its key's own."""
         part = self._part
         self._timer.cancel()
-        self._held_up.cancel()
-        if self._slow is not None:
-            self._slow.cancel()
         self._read.exchanges.pop(self, None)
         left = part.left
         self._reads.parts.end(part)
--- a/pebblepass/manykeys/parts.py
+++ b/pebblepass/manykeys/parts.py
@@ -111,6 +111,7 @@
         """`aim`: that of the quickest class, in nanoseconds."""
         self._bounds, self._aim = bounds, aim
         self._servers: dict[str, _Server[Item]] = {}
+        self._stuck = 0  # parts, over all servers
         self._ready: dict[str, None] = {}  # servers that something may wait for
 
     def offer(
@@ -139,23 +140,31 @@
         queue.append(_Queued(item, order, size, patience, alone))
         self._ready[server] = None
 
-    def due(self, now: int, speaks: Callable[[str], bool]) -> list[Part[Item]]:
-        """Cut the parts that may leave now; `speaks`: whether a server takes a part as one command."""
+    def due(self, now: int, speaks: Callable[[str], bool], full_only: bool = False) -> list[Part[Item]]:
+        """Cut the parts that may leave now; `speaks`: whether a server takes a part as one command.
+
+        `full_only`: more keys are about to be offered, so that parts that would be short wait for them.
+        """
         parts: list[Part[Item]] = []
         for server in list(self._ready):
             held = self._servers[server]
+            as_one = speaks(server)
+            most = self._most_keys(held, as_one)
             while held.turns and held.running < self._bounds.side_by_side:
-                parts.append(self._cut(server, held, now, speaks(server)))
-            del self._ready[server]  # until a part ends, or a key is offered
+                if full_only and len(held.queues[held.turns[0]]) < most:
+                    break
+                parts.append(self._cut(server, held, now, as_one, most))
+            if not full_only:
+                del self._ready[server]  # until a part ends, or a key is offered
         return parts
 
-    def _cut(self, server: str, held: _Server[Item], now: int, as_one: bool) -> Part[Item]:
+    def _cut(self, server: str, held: _Server[Item], now: int, as_one: bool, most: int) -> Part[Item]:
         """The next command in turn has a part of its keys sent; with more left it waits for its next turn."""
         owner = held.turns.popleft()
         queue = held.queues[owner]
         # Danger: a long value may wait for those ahead of it in the list. What has to go alone goes last.
         queue.sort(key=lambda queued: (queued.alone, queued.order))
-        most, size, count = min(self._most_keys(held, as_one), len(queue)), queue[0].size, 1
+        most, size, count = min(most, len(queue)), queue[0].size, 1
         while count < most and not queue[count].alone and size + queue[count].size <= self._bounds.words:
             size += queue[count].size
             count += 1
@@ -190,12 +199,15 @@
             held = self._servers[part.server]
             held.running -= 1
             held.stuck[part.owner] += 1
+            self._stuck += 1
             self._ready[part.server] = None
         return 0, behind
 
     def blocked(self) -> list[Item]:
         """Keys that wait for a server where their command has too many parts stuck: they don't go there."""
         blocked: list[Item] = []
+        if not self._stuck:
+            return blocked
         for held in self._servers.values():
             for owner in [o for o in held.stuck if held.stuck[o] >= self._bounds.side_by_side]:
                 blocked += self._take_queue(held, owner)
@@ -231,6 +243,7 @@
         held = self._servers[part.server]
         if part.stuck:
             held.stuck[part.owner] -= 1
+            self._stuck -= 1
             if not held.stuck[part.owner]:
                 del held.stuck[part.owner]
         else:
--- a/pebblepass/manykeys/shares.py
+++ b/pebblepass/manykeys/shares.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import heapify, heappop, heapreplace
 
 from pebblepass.manykeys.gathering import Gathering
 
@@ -85,32 +84,27 @@
         ]
         return max(stalled, key=lambda gathering: gathering.held, default=None)
 
-    def deal(self, room: int) -> list[tuple[Gathering, list[int]]]:
-        """Deal out a chunk of keys, `room` at most; empty: nobody may ask for more now."""
+    def deal(self, room: int) -> tuple[Gathering, list[int]] | None:
+        """Deal a chunk of keys, `room` at most, to one command; None: nobody may ask for more now."""
         bounds = self.bounds
         ready = [g for g, since in self._gatherings.items() if since is None and g.waiting]
         if not ready:
-            return []
+            return None
         left = min(
             bounds.chunk, room, bounds.keys - self.asked, (bounds.held - self.held) // max(bounds.value, 1)
         )
-        dealt: dict[Gathering, int] = {}
-        poorest = [(gathering.asked, place, gathering) for place, gathering in enumerate(ready)]
-        heapify(poorest)
-        while left > 0 and poorest:
-            asked, place, gathering = poorest[0]
-            if self._has_room(gathering, dealt.get(gathering, 0)):
-                dealt[gathering] = dealt.get(gathering, 0) + 1
-                left -= 1
-                heapreplace(poorest, (asked + 1, place, gathering))
-            else:
-                heappop(poorest)
-        return [(gathering, gathering.ask(count)) for gathering, count in dealt.items()]
-
-    def _has_room(self, gathering: Gathering, more: int) -> bool:
+        if left <= 0:
+            return None
+        # The whole chunk to one command: keys that come together can travel together.
+        for gathering in sorted(ready, key=lambda gathering: gathering.asked):
+            count = min(left, self._room_of(gathering))
+            if count > 0:
+                return gathering, gathering.ask(count)
+        return None
+
+    def _room_of(self, gathering: Gathering) -> int:
         bounds = self.bounds
-        in_flight = gathering.asked + more
-        held = gathering.held + (more + 1) * bounds.value
+        in_memory = (bounds.held_of_one - gathering.held) // max(bounds.value, 1)
         # One key may always be asked: what is held then is what its own client has to take.
-        fits = held <= bounds.held_of_one or not in_flight
-        return more < gathering.waiting and in_flight < bounds.keys_of_one and fits
+        fits = max(in_memory, 0 if gathering.asked else 1)
+        return min(gathering.waiting, bounds.keys_of_one - gathering.asked, fits)
--- a/pebblepass/operator/schema.py
+++ b/pebblepass/operator/schema.py
@@ -47,10 +47,10 @@
 
     keys_in_flight: Annotated[
         int, msgspec.Meta(ge=1, le=100_000, description="keys asked at a time, over all commands")
-    ] = 512
+    ] = 1024
     keys_of_one: Annotated[
         int, msgspec.Meta(ge=1, le=1024, description="keys asked at a time for one command")
-    ] = 128
+    ] = 384
     commands: Annotated[
         int, msgspec.Meta(ge=1, le=10_000, description="commands under way; further ones are refused")
     ] = 256
@@ -62,7 +62,7 @@
         msgspec.Meta(
             ge=128, le=1 << 20, description="memory for what is gathered, a quarter of the router's at most"
         ),
-    ] = 16 << 10
+    ] = 48 << 10
     part_keys: Annotated[int, msgspec.Meta(ge=1, le=1024, description="keys that go to a node together")] = 32
     part_kib: Annotated[int, msgspec.Meta(ge=1, le=64, description="words of keys that go together")] = 16
     parts_of_server: Annotated[
