--- a/benchmarks/many_keys.py
+++ b/benchmarks/many_keys.py
@@ -13,8 +13,10 @@
 import argparse
 import asyncio
 import json
+import multiprocessing
 import statistics
 import time
+from multiprocessing.connection import Connection
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +33,7 @@
 }
 PAIRS = 7
 COUNTS = (10, 100, 1000)
+FLOOD_KEYS = 2000  # a second, over all of them
 FLOOD = 4  # clients that ask for 1,000 keys one list after another
 
 
@@ -106,11 +109,11 @@
     return (process.cpu() - cpu) / requests * 1e6, sorted(load.times)
 
 
-async def cost(site: Site, keys: int) -> dict[str, Any]:
+async def cost(site: Site, keys: int, more: str) -> dict[str, Any]:
     """CPU a key against single reads, by turns on one router; medians of the pairs' ratios."""
     found: dict[str, Any] = {}
     for name, operator in OPERATORS.items():
-        router = await site.router(Case("lists", nodes=38), operator)
+        router = await site.router(Case("lists", nodes=38), operator + more)
         try:
             await singles(router, Case("warm"), 1500)
             await lists(router, 100, 2000)
@@ -136,9 +139,9 @@
     return found
 
 
-async def wall(site: Site) -> dict[str, Any]:
+async def wall(site: Site, more: str) -> dict[str, Any]:
     """The time of one list of 100 keys against 100 pipelined reads of the same client, by turns."""
-    router = await site.router(Case("wall", nodes=38), OPERATORS["single reads to nodes"])
+    router = await site.router(Case("wall", nodes=38), OPERATORS["single reads to nodes"] + more)
     try:
         asker = await Asker.of(router)
         await asker.many(100)
@@ -156,11 +159,35 @@
     return {**told, "ratio": told["list_ms"] / told["pipelined_ms"]}
 
 
-async def beside(site: Site) -> dict[str, Any]:
+def flood(port: int, pipe: Connection) -> None:
+    """A process of its own that asks long lists until it is told to stop, and tells (asked, served)."""
+
+    async def main() -> None:
+        loop, over, asked, served = asyncio.get_running_loop(), asyncio.Event(), 0, 0
+
+        async def ask() -> None:
+            nonlocal asked, served
+            asker = Asker(*await asyncio.open_connection("127.0.0.1", port))
+            while not over.is_set():
+                begun = time.perf_counter()
+                found = await asker.many(1000)
+                asked, served = asked + 1000, served + found
+                await asyncio.sleep(max(FLOOD * 1000 / FLOOD_KEYS - (time.perf_counter() - begun), 0))
+
+        loop.add_reader(pipe.fileno(), over.set)
+        Asker.numbers = port << 24  # ids of its own
+        await asyncio.gather(*(ask() for _ in range(FLOOD)))
+        pipe.send((asked, served))
+
+    uvloop.run(main())
+
+
+async def beside(site: Site, operator: str) -> dict[str, Any]:
     """Single reads' times with and without a flood of long lists, by turns."""
-    router = await site.router(Case("flood", nodes=38), OPERATORS["single reads to nodes"])
+    router = await site.router(Case("flood", nodes=38), operator)
     rows: dict[str, list[float]] = {"alone": [], "flooded": []}
     served = asked = 0
+    spawn = multiprocessing.get_context("spawn")
 
     async def paced(count: int, a_second: float) -> list[float]:
         """Single reads at a rate, on a few connections, whatever becomes of the ones before."""
@@ -179,21 +206,19 @@
             asker.close()
         return times
 
-    async def flood(asker: Asker) -> None:
-        nonlocal served, asked
-        while True:
-            found = await asker.many(1000)
-            served, asked = served + found, asked + 1000
-            await asyncio.sleep(FLOOD * 1000 / 2000)  # 2,000 keys a second over all of them
-
     try:
         await paced(400, 400)
         for _ in range(PAIRS):
             rows["alone"] += await paced(800, 400)
-            floods = [asyncio.create_task(flood(await Asker.of(router))) for _ in range(FLOOD)]
+            here, there = multiprocessing.Pipe()
+            process = spawn.Process(target=flood, args=(router.port, there), daemon=True)
+            process.start()
+            await asyncio.sleep(1.5)  # it starts, and its lists are spread over the time
             rows["flooded"] += await paced(800, 400)
-            for task in floods:
-                task.cancel()
+            here.send("end")
+            told_asked, told_served = await asyncio.to_thread(here.recv)
+            asked, served = asked + told_asked, served + told_served
+            await asyncio.to_thread(process.join)
     finally:
         router.end()
     told: dict[str, Any] = {"flood_served": served / max(asked, 1), "flood_keys": asked}
@@ -205,23 +230,34 @@
     return told
 
 
-async def measure(site: Site, keys: int) -> dict[str, Any]:
-    """Run everything."""
-    return {"cost": await cost(site, keys), "wall": await wall(site), "beside": await beside(site)}
+async def measure(site: Site, keys: int, more: str, only: str) -> dict[str, Any]:
+    """Run everything, or one question; `more` goes into [many_keys]."""
+    found: dict[str, Any] = {}
+    if only in ("", "cost"):
+        found["cost"] = await cost(site, keys, more)
+    if only in ("", "wall"):
+        found["wall"] = await wall(site, more)
+    if only in ("", "beside"):
+        found["beside"] = await beside(site, OPERATORS["single reads to nodes"] + more)
+    return found
 
 
 def main() -> None:
     """Measure, and print."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--keys", type=int, default=20_000)
+    parser.add_argument("--only", default="", choices=("", "cost", "wall", "beside"))
+    parser.add_argument("--more", default="", help="further lines of [many_keys]")
     parser.add_argument("--json", type=Path)
     told = parser.parse_args()
     with stand.site() as site:
-        found = uvloop.run(measure(site, told.keys))
-    for name, row in found["cost"].items():
+        found = uvloop.run(measure(site, told.keys, told.more + "\n", told.only))
+    for name, row in found.get("cost", {}).items():
         shown = "  ".join(f"{key} {value:.3g}" for key, value in row.items())
         print(f"{name:>36}  {shown}")
     for part in ("wall", "beside"):
+        if part not in found:
+            continue
         print(f"{part:>36}  " + "  ".join(f"{key} {value:.3g}" for key, value in found[part].items()))
     if told.json:
         told.json.write_text(json.dumps(found, indent=1) + "\n")
--- a/pebblepass/rehearsal/front.py
+++ b/pebblepass/rehearsal/front.py
@@ -32,6 +32,10 @@
         self.leaving = 0.0
         """The share of clients that leave before their answer."""
         self._noticed_down: set[int] = set()
+        self._commands: dict[int, list[Ask]] = {}
+        for ask in plan.asks:
+            if ask.command >= 0:
+                self._commands.setdefault(ask.command, []).append(ask)
 
     def add_router(self, place: int, address: Address) -> None:
         """A router's clients connect here."""
@@ -53,8 +57,20 @@
         return place
 
     def ask(self, ask: Ask) -> None:
-        """A client begins to ask."""
-        Asking(self, ask).attempt()
+        """A client begins to ask; the keys of one command are asked with its first."""
+        if ask.command < 0:
+            Asking(self, ask).attempt()
+        elif ask is self._commands[ask.command][0]:
+            CommandTry(self, self._commands[ask.command])
+
+    def loss(self, place: int, request: str, begun: float, how: str) -> str:
+        """Nothing final has come: the router's fault, unless it was ended while it held the request."""
+        now = self.loop.time()
+        if self.killed_at.get(place, -1.0) >= begun:
+            self.referee.left(request, now)
+            return "killed"
+        self.referee.lost(request, now, how)
+        return "lost"
 
     def close(self) -> None:
         """Close every client's connection."""
@@ -170,14 +186,7 @@
             self._end("gone" if self._was_taken else "unreached")
 
     def _lost(self, how: str) -> None:
-        """Nothing final has come: the router's fault, unless it was ended while it held the request."""
-        now = self._front.loop.time()
-        if self._front.killed_at.get(self._place, -1.0) >= self._begun:
-            self._front.referee.left(self._id, now)
-            self._end("killed")
-        else:
-            self._front.referee.lost(self._id, now, how)
-            self._end("lost")
+        self._end(self._front.loss(self._place, self._id, self._begun, how))
 
     def _answered(self, answer: Answer, back_ms: int) -> None:
         referee, now = self._front.referee, self._front.loop.time()
@@ -211,3 +220,80 @@
         if answer is Answer.CLOSED:
             return not self._front.referee.was_sent(self._id)
         return answer is Answer.CUT and self._front.referee.was_spoilt(self._id)
+
+
+class CommandTry:
+    """One command that reads many keys: each key is the one try of an ask of its own."""
+
+    def __init__(self, front: Front, asks: list[Ask]) -> None:
+        self._front, self._asks = front, asks
+        self._place = front.pick(asks[0].router)
+        self._router = front.plan.routers[self._place].id
+        self._cls = front.classes[asks[0].request_class]
+        self._name = f"{asks[0].number:016x}"
+        self._ids = [f"{self._name}.{number}" for number in range(len(asks))]
+        self._begun = front.loop.time()
+        self._was_taken = False
+        front.open += 1
+        for ask in asks:
+            front.count.tried(ask, self._router)
+        patience = self._cls.deadline_ms / 1000
+        self._timer = front.loop.call_later(patience + LISTEN_S + front.slack, self._stop_listening)
+        self._send()
+
+    def _send(self) -> None:
+        asks, cls = self._asks, self._cls
+        left = max(1, int((self._begun - self._front.loop.time()) * 1000 + cls.deadline_ms))
+        keys = [ask.key.encode() for ask in asks]
+        info = f"c={cls.name},t={asks[0].namespace},d={left}".encode()
+        words = (b"KV.MGET", b"%d" % len(keys), *keys, self._name.encode(), info)
+        self._request = Request(words, b"", self._taken, self._answered)
+        self._request.proofs = tuple(b"%b %b." % (key, self._name.encode()) for key in keys)
+        self._front.pools[self._place].ask(self._request)
+
+    def _taken(self) -> None:
+        self._was_taken = True
+        for request in self._ids:
+            deadline = self._begun + self._cls.deadline_ms / 1000
+            self._front.referee.taken(request, self._router, deadline)
+
+    def _end(self, outcomes: list[str], unseen: bool = False) -> None:
+        self._timer.cancel()
+        self._front.open -= 1
+        for ask, outcome in zip(self._asks, outcomes, strict=True):
+            self._front.count.ended(ask, self._router, outcome, unseen)
+
+    def _lost(self, how: str) -> None:
+        self._end([self._front.loss(self._place, request, self._begun, how) for request in self._ids])
+
+    def _stop_listening(self) -> None:
+        self._request.drop()
+        if self._was_taken:
+            self._lost("no answer in its time")
+        else:
+            self._end(["unreached"] * len(self._asks))
+
+    def _answered(self, answer: Answer, _: int) -> None:
+        referee, now = self._front.referee, self._front.loop.time()
+        sent = self._was_taken and any(map(referee.was_sent, self._ids))
+        if answer is Answer.UNREACHED:
+            self._end(["unreached"] * len(self._asks))
+        elif answer is Answer.CLOSED and not sent and not self._request.fresh:
+            self._send()  # PROTOCOL: a close that crosses a request on a kept connection
+        elif answer in (Answer.CLOSED, Answer.CUT) and sent:
+            self._lost("the connection was closed without its answer")
+        elif answer is Answer.WRONG:
+            self._lost("served with a value that was not made for it")
+        else:
+            entries = [entry for entry, _ in self._request.entries] or [answer] * len(self._asks)
+            outcomes = []
+            for ask, request, entry in zip(self._asks, self._ids, entries, strict=True):
+                if entry is Answer.WRONG:
+                    how = "served with a value that was not made for it"
+                    outcomes.append(self._front.loss(self._place, request, self._begun, how))
+                    continue
+                referee.answered(request, now)
+                outcomes.append("failed" if entry in (Answer.CLOSED, Answer.CUT) else entry.value)
+                if entry is Answer.SERVED:
+                    self._front.count.served_after[ask.number] = now - self._begun
+            self._end(outcomes, unseen=answer is Answer.CLOSED)
--- a/pebblepass/rehearsal/plan.py
+++ b/pebblepass/rehearsal/plan.py
@@ -9,7 +9,7 @@
 import hashlib
 import random
 from bisect import bisect_left
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import accumulate
 from math import exp, fsum, pi, sin
 
@@ -89,6 +89,8 @@
     backoffs: tuple[float, ...]
     leaves: float
     """A draw from 0 to 1: where clients leave, those under the share do."""
+    command: int = -1
+    """The command of many keys that it belongs to; -1: it is asked by itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +188,7 @@
         store=_store(scenario, streams, keys),
         routers=routers,
         delays=delays,
-        asks=tuple(_asks(scenario, streams, keys, routers)),
+        asks=tuple(_with_syncs(scenario, streams, keys, routers)),
         happenings=_happenings(scenario, streams),
         troubles=_told_troubles(scenario, streams),
         popular=keys.pooled,
@@ -305,6 +307,29 @@
         )
 
 
+def _with_syncs(
+    scenario: Scenario, streams: Streams, keys: _Keys, routers: tuple[RouterFacts, ...]
+) -> list[Ask]:
+    """All asks by their time, with those of commands that read many keys: each of their keys is an ask."""
+    asks, sync = _asks(scenario, streams, keys, routers), scenario.sync
+    if sync is None:
+        return asks
+    rng, cls, at, number = streams.of("sync"), _first_read(scenario.classes), 0.0, 0
+    shares = list(accumulate(namespace.share for namespace in scenario.namespaces))
+    while (at := at + rng.expovariate(1.0) / sync.commands) < scenario.length_s:
+        namespace = scenario.namespaces[bisect_left(shares, rng.random() * shares[-1])].name
+        router, wanted = rng.randrange(len(routers)), dict[str, None]()
+        while len(wanted) < sync.keys:
+            wanted[keys.draw(rng)] = None
+        zone = routers[router].zone
+        for key in wanted:
+            ask = Ask(0, at, cls.name, namespace, key, zone, router, False, (1.0,), (0.0,), 1.0, number)
+            asks.append(ask)
+        number += 1
+    asks.sort(key=lambda ask: ask.at)
+    return [replace(ask, number=place) for place, ask in enumerate(asks)]
+
+
 def _first_read(classes: tuple[RequestClass, ...]) -> RequestClass:
     return next((cls for cls in classes if not cls.write), classes[0])
 
--- a/pebblepass/rehearsal/routers.py
+++ b/pebblepass/rehearsal/routers.py
@@ -20,7 +20,7 @@
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.figures import snapshot
 from pebblepass.figures.service import FiguresService
-from pebblepass.operator import FiguresSection
+from pebblepass.operator import FiguresSection, ManyKeysSection
 from pebblepass.rehearsal.clock import VirtualLoop
 from pebblepass.wire.address import Address
 
@@ -70,8 +70,10 @@
         loop: asyncio.AbstractEventLoop,
         unix_ns: Callable[[], int],
         make: Callable[..., Daemon] = Daemon,
+        many: bool = False,
     ) -> None:
-        self._loop, self._unix_ns, self._make = loop, unix_ns, make
+        """`many`: whether it takes reads of many keys."""
+        self._loop, self._unix_ns, self._make, self._many = loop, unix_ns, make, many
         self._daemon: Daemon | None = None
         self._figures: list[FiguresService] = []  # one for each start
         self._killed = False
@@ -80,6 +82,8 @@
         """Start it."""
         config = read_config(told, {})
         self._daemon = self._make(self._loop, config, self._unix_ns)
+        if self._many:
+            self._daemon.read_many(ManyKeysSection())
         host, starts = self._daemon.host, len(self._figures)
         figures = FiguresService(
             self._loop, FiguresSection(), config.name, config.settings, self._unix_ns, f"start {starts}"
@@ -131,9 +135,9 @@
 class ProcessRouter:
     """A process started by the deploy file's `run`, held to its limits."""
 
-    def __init__(self, folder: Path, deploy: Path) -> None:
-        """`folder` is this router's own; `deploy` the deploy file."""
-        self._folder, self._root = folder, deploy.resolve().parent.parent
+    def __init__(self, folder: Path, deploy: Path, many: bool = False) -> None:
+        """`folder` is this router's own; `deploy` the deploy file; `many`: it takes reads of many keys."""
+        self._folder, self._root, self._many = folder, deploy.resolve().parent.parent, many
         self._command = str(tomllib.loads(deploy.read_text())["run"])
         self._process: subprocess.Popen[bytes] | None = None
         self._watch: asyncio.Task[None] | None = None
@@ -169,9 +173,11 @@
         environ = {k: v for k, v in os.environ.items() if not k.startswith(("LB_", "PEBBLEPASS_"))}
         # Guards what is rehearsed: under a tight limit the ledger's few megabytes would decide.
         self._ledger = told["limits"]["memory_mb"] >= LEDGER_MB
-        if self._ledger:
+        sections = f"[figures]\ndirectory = {json.dumps(str(self._folder))}\n" if self._ledger else ""
+        sections += "[many_keys]\n" if self._many else ""
+        if sections:
             operator = self._folder / "operator.toml"
-            operator.write_text(f"[figures]\ndirectory = {json.dumps(str(self._folder))}\n")
+            operator.write_text(sections)
             environ["PEBBLEPASS_OPERATOR"] = str(operator)
         with (self._folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -303,7 +303,7 @@
             unix_ns=loop.unix_ns,
             silence=loop.set_silent,
             slack=VIRTUAL_SLACK_S,
-            router=lambda _: InProcessRouter(loop, loop.unix_ns, make),
+            router=lambda _: InProcessRouter(loop, loop.unix_ns, make, plan.scenario.sync is not None),
         )
         return runner.run(Rehearsal(plan, stage, progress).run())
 
@@ -318,7 +318,7 @@
         def router(place: int) -> RouterPort:
             own = folder / plan.routers[place].id
             own.mkdir(parents=True, exist_ok=True)
-            return ProcessRouter(own, deploy)
+            return ProcessRouter(own, deploy, plan.scenario.sync is not None)
 
         stage = Stage(
             clock="real",
--- a/pebblepass/rehearsal/scenario.py
+++ b/pebblepass/rehearsal/scenario.py
@@ -169,6 +169,13 @@
     notice_s: Annotated[Range, Meta(description="the front notices a dead router so late")] = Range(0.96, 4.0)
 
 
+class Sync(_Checked, frozen=True):
+    """`[sync]`: package tools that read many index entries in one command, beside all else."""
+
+    commands: Annotated[Positive, Meta(description="commands a second over all routers")] = 1.0
+    keys: Annotated[int, Meta(ge=1, le=1024, description="keys of one command, all different")] = 100
+
+
 class Trouble(_Checked, frozen=True):
     """`[[trouble]]`: something that the clients or the data bring."""
 
@@ -239,6 +246,7 @@
     node: Annotated[Node, Meta(description="a mirror node")] = Node()
     store: Annotated[Store, Meta(description="the package store")] = Store()
     traffic: Annotated[Traffic, Meta(description="what clients ask for")] = Traffic()
+    sync: Annotated[Sync | None, Meta(description="reads of many keys; left out: none")] = None
     classes: Annotated[
         tuple[RequestClass, ...], msgspec.Meta(min_length=1, description="classes of requests")
     ] = msgspec.field(default=DEFAULT_CLASSES, name="class")
@@ -265,6 +273,10 @@
         for place, kind, at in dated:
             if at >= self.length_s:
                 raise ValueError(f"{place}: {kind} at {at:g} s comes after the end at {self.length_s:g} s")
+        if self.sync is not None and self.sync.keys * 2 > self.traffic.keys:
+            raise ValueError(
+                "sync.keys: at most half of traffic.keys, as all keys of a command are different"
+            )
         for number, fault in enumerate(self.faults):
             count = self.fleet.routers if fault.kind.startswith("router") else self.fleet.nodes
             if fault.place is not None and fault.place >= count:
--- a/pebblepass/rehearsal/world.py
+++ b/pebblepass/rehearsal/world.py
@@ -24,6 +24,7 @@
 FALL_MULTIPLE, FALL_S = 4.0, 2.0
 COLD_SHARE, COLD_S = 0.32, 8.9  # what the settings tell of a cold node's worst case
 DIAL_TIMEOUT_S, IDLE_CLOSE_S = 0.12, 10.0
+STREAMS_PER_CONNECTION = 32
 MAX_OPEN = 5000
 
 _SEMANTICS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
@@ -45,6 +46,7 @@
             "mostTries": 4,
             "retryAfter": False,
             "secondCopies": True,
+            "streamsPerConn": STREAMS_PER_CONNECTION,
         },
         "classes": [
             {
--- a/pebblepass/standins/clients.py
+++ b/pebblepass/standins/clients.py
@@ -43,6 +43,10 @@
         self.fresh = False
         """Whether it is the first one on its connection."""
         self.over = False
+        self.proofs: tuple[bytes, ...] = ()
+        """For a read of many keys: what each value begins with, in the order asked."""
+        self.entries: list[tuple[Answer, int]] = []
+        """What came of each of its keys."""
 
     def end(self, answer: Answer, back_ms: int = 0) -> None:
         """End it, once."""
@@ -162,21 +166,13 @@
         if self._reader.has_data():
             self._pool.stray(data)
             self.close()
+        if request.proofs and isinstance(answer, list) and len(answer) == len(request.proofs):
+            request.entries = [_judge(*pair) for pair in zip(answer, request.proofs, strict=True)]
+            self._end(Answer.SERVED)
+            return
         if isinstance(answer, list) and answer:
             answer = answer[0]
-        if isinstance(answer, hiredis.ReplyError):
-            words = str(answer).split()
-            if words and words[0] == "BUSY":
-                back = int(words[1]) if len(words) > 1 and words[1].isdecimal() else 0
-                self._end(Answer.REFUSED, back)
-            else:
-                self._end(Answer.FAILED)
-        elif isinstance(answer, bytes) and answer.startswith(request.proof):
-            self._end(Answer.SERVED)
-        elif isinstance(answer, bytes):
-            self._end(Answer.WRONG)
-        else:
-            self._end(Answer.FAILED)
+        self._end(*_judge(answer, request.proof))
 
     def _end(self, answer: Answer, back_ms: int = 0) -> None:
         request, self._request = self._request, None
@@ -205,3 +201,15 @@
         """Close it."""
         if self.transport is not None:
             self.transport.abort()
+
+
+def _judge(answer: object, proof: bytes) -> tuple[Answer, int]:
+    """What one answer, or an entry of a command's, comes to, and after how many milliseconds to come back."""
+    if isinstance(answer, hiredis.ReplyError):
+        words = str(answer).split()
+        if words and words[0] == "BUSY":
+            return Answer.REFUSED, int(words[1]) if len(words) > 1 and words[1].isdecimal() else 0
+        return Answer.FAILED, 0
+    if isinstance(answer, bytes):
+        return (Answer.SERVED if answer.startswith(proof) else Answer.WRONG), 0
+    return Answer.FAILED, 0
--- /dev/null
+++ b/tests/rehearsal/test_index_sync.py
@@ -0,0 +1,60 @@
+"""Reads of many keys in a rehearsal: each key is a try of its own, and the figures are the kit's."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+
+from pebblepass.operator import FileError, decode_toml
+from pebblepass.rehearsal.plan import make_plan
+from pebblepass.rehearsal.report import verdict
+from pebblepass.rehearsal.runner import rehearse
+from pebblepass.rehearsal.scenario import Fault, Scenario, Sync, load_scenario
+
+SMALL = msgspec.structs.replace(
+    load_scenario("index-sync"),
+    length_s=6,
+    sync=Sync(commands=2.0, keys=25),
+    faults=(
+        Fault(kind="node-drain", at_s=1),
+        Fault(kind="node-silent", at_s=2, for_s=2),
+        Fault(kind="node-reset", at_s=2, for_s=3, share=0.3),
+        Fault(kind="router-term", at_s=3, place=0),
+        Fault(kind="router-reload", at_s=4, place=1),
+    ),
+)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_every_key_is_accounted_for_and_every_rule_holds_while_parts_break(seed: int) -> None:
+    plan = make_plan(SMALL, seed)
+    keys = sum(ask.command >= 0 for ask in plan.asks)
+    assert keys == 25 * len({ask.command for ask in plan.asks if ask.command >= 0})
+    assert keys > 100
+    report = rehearse(plan)
+    assert verdict(report) == []
+    assert report["figures"]["differences"] == []
+    assert sum(tally["asked"] for tally in report["routers"].values()) >= len(plan.asks)
+
+
+def test_a_killed_router_takes_its_commands_with_it_and_nothing_else_is_lost() -> None:
+    scenario = msgspec.structs.replace(SMALL, faults=(Fault(kind="router-kill", at_s=2, place=0),))
+    assert verdict(rehearse(make_plan(scenario, 3))) == []
+
+
+def test_the_same_seed_gives_the_same_report_to_the_byte() -> None:
+    first, second = (json.dumps(rehearse(make_plan(SMALL, 5)), sort_keys=True) for _ in range(2))
+    assert first == second
+
+
+def test_a_plan_without_lists_is_what_it_was() -> None:
+    without = msgspec.structs.replace(SMALL, sync=None)
+    alone, beside = make_plan(without, 4).asks, make_plan(SMALL, 4).asks
+    assert [(ask.at, ask.key) for ask in alone] == [(a.at, a.key) for a in beside if a.command < 0]
+
+
+def test_a_list_longer_than_the_keys_allow_is_one_line() -> None:
+    with pytest.raises(FileError, match=r"sync.keys: at most half of traffic.keys"):
+        decode_toml("x", b"title = 'x'\nlength_s = 5\n[traffic]\nkeys = 100\n[sync]\nkeys = 60\n", Scenario)
