--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -12,6 +12,7 @@
 
 from pebblepass.daemon.clients import Reply
 from pebblepass.daemon.lag import after_news
+from pebblepass.daemon.router import OpenRequest
 from pebblepass.daemon.upstream import Answer, Exchange, Pool, ValueSource
 from pebblepass.decisions import AttemptSlow, Effect, Outcome
 from pebblepass.manykeys import (
@@ -407,7 +408,7 @@
         key = read.gathering.keys[number]
         command = read.command.read(number, key)
         reply = KeyReply(read, number)
-        self.host.open_key(read.request_id(number), command, reply, read.deadline, read)
+        self.host.open(OpenRequest(read.request_id(number), command, reply, read.deadline, read))
 
     def offer(self, read: ManyRead, attempt: Attempt, server: str, timeout: int) -> None:
         """The module has chosen a server for a key."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -371,26 +371,19 @@
             if self.ledger is not None:
                 tenant = fields.get("t")
                 self.ledger.take(request_id, fields["c"], tenant, now, deadline, command.size, PATH)
-            self.open_key(request_id, command, reply, deadline)
+            self.open(OpenRequest(request_id, command, reply, deadline))
             return
         reply.forgotten()
 
-    def open_key(
-        self,
-        request_id: str,
-        command: Command,
-        reply: Reply | KeyReply,
-        deadline: int,
-        read: ManyRead | None = None,
-    ) -> None:
+    def open(self, request: OpenRequest) -> None:
         """Give the module a request, or one key of a read of many; it is accounted for already."""
-        request = OpenRequest(request_id, command, reply, deadline, read)
-        reply.request = request
+        request.reply.request = request
+        request_id, command, read = request.id, request.command, request.read
         self._requests[request_id] = request
         fields = command.fields
         tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
         retry, whole = fields.get("r") == "1", read.name if read is not None else None
-        self.tell(RequestArrived(request_id, fields["c"], deadline, tenant, key, write, retry, whole))
+        self.tell(RequestArrived(request_id, fields["c"], request.deadline, tenant, key, write, retry, whole))
 
     def knows(self, request_id: str) -> bool:
         """Whether a request has this id that is owed an answer, or has attempts out still."""
