Ask a list's keys in one event, and make attempts only for what is no hit

Each key had a request, an attempt and two events of its own.

Change: KeysArrived tells the module of a chunk of keys, each decided on by itself; SendKeys names those that go to one server, KeysServed those that it served (one event, one judgement). A key that is anything but a hit of its first choice gets its request and attempt as before, so that misses, retries, second copies and drains go the old way. Hits of a part are cut in one go. The benchmark's lists ask the keys in the order of its single reads: before, each list had 93% of its keys from the one before, which made them hot.

--- a/benchmarks/many_keys.py
+++ b/benchmarks/many_keys.py
@@ -67,7 +67,9 @@
 
     async def many(self, count: int, value: int = 1000) -> int:
         """Ask for so many keys in one command; returns how many were served."""
-        keys = [b"k%d/%d" % ((self.numbers * 7 + number) % KEYS, value) for number in range(min(count, KEYS))]
+        keys = [
+            b"k%d/%d" % ((self.numbers * count + number) % KEYS, value) for number in range(min(count, KEYS))
+        ]
         keys += [b"k%d/%d" % (KEYS + number, value) for number in range(count - len(keys))]
         self._writer.write(
             command(b"KV.MGET", b"%d" % count, *keys, self._name(), b"c=fetch,t=public,d=3000")
--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -30,6 +30,9 @@
                     if (count := cutter.array()) is None:
                         return
                     exchange.array_begins(count)
+                if (plain := exchange.plain) and (entries := cutter.hits(plain)):
+                    self.hits(exchange, entries)
+                    continue
                 answer = cutter.next()
             except AnswerError as error:
                 self.spoil(f"sent {error}")
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -14,7 +14,7 @@
 from pebblepass.daemon.lag import after_news
 from pebblepass.daemon.router import OpenRequest
 from pebblepass.daemon.upstream import Answer, Exchange, Pool, ValueSource
-from pebblepass.decisions import AttemptSlow, Effect, Outcome
+from pebblepass.decisions import AttemptSlow, Effect, KeysArrived, KeysServed, Outcome, SendKeys
 from pebblepass.manykeys import (
     Gathering,
     HedgeBudget,
@@ -22,6 +22,7 @@
     Part,
     PartBounds,
     Parts,
+    Queued,
     ShareBounds,
     Shares,
     State,
@@ -29,7 +30,7 @@
 )
 from pebblepass.wire.address import Address
 from pebblepass.wire.answers import AnswerError
-from pebblepass.wire.resp import LARGE, MANY, Command, command, read_command
+from pebblepass.wire.resp import LARGE, MANY, Command, bulk_length, command, info_for, read_command
 
 if TYPE_CHECKING:
     from pebblepass.daemon.deadlines import Deadline
@@ -118,6 +119,45 @@
         return self._read.reply.null
 
 
+class KeyAttempt:
+    """A key on its way: what a hit needs, and no more. An attempt is made for whatever else becomes of it.
+
+    Nearly all keys are hits of sound servers; a request and an attempt for each would cost as much as a read.
+    """
+
+    __slots__ = ("attempt", "number", "part", "read", "request_id", "server")
+
+    def __init__(self, read: ManyRead, number: int, request_id: str, attempt: Attempt | None = None) -> None:
+        self.read, self.number, self.request_id = read, number, request_id
+        self.server = ""
+        """Where the module wants it to be sent; empty: it has not said, or its request is open."""
+        self.part: PartExchange | None = None
+        self.attempt = attempt
+
+    @property
+    def wanted(self) -> bool:
+        """Whether its request has no final answer yet."""
+        return self.attempt is None or self.attempt.wanted
+
+    @property
+    def streaming(self) -> bool:
+        """Whether a long value of it is under way."""
+        return self.attempt is not None and self.attempt.streaming
+
+    def begin(self, part: PartExchange) -> None:
+        """It leaves now, in this part."""
+        self.part = part
+        if self.attempt is not None:
+            self.attempt.begin(part)
+
+    def made(self) -> Attempt:
+        """Its attempt, made if need be: from here on it is one like any other."""
+        if self.attempt is None:
+            self.read.reads.open(self)
+        assert self.attempt is not None
+        return self.attempt
+
+
 class ManyRead:
     """One command under way. As the source of its reply it is paused while its client takes nothing."""
 
@@ -131,11 +171,20 @@
         """Its client has left, or its answer is written."""
         self.streams: dict[int, KeyReply] = {}
         self.exchanges: dict[PartExchange, None] = {}
+        self._told_left, self._info = -1, b""
+        self.light: dict[str, KeyAttempt] = {}
+        """Keys that the module has been told of and that have no open request, by their request's id."""
         self.suspects: set[int] = set()
         """Numbers on which a part has broken: from then on they travel alone."""
         due = max(self.deadline - reads.margin, now)
         self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self._time_up))
 
+    def info_for(self, left_ms: int) -> bytes:
+        """The list to pass on while so much of its time is left."""
+        if left_ms != self._told_left:
+            self._told_left, self._info = left_ms, info_for(self.command.info, left_ms)
+        return self._info
+
     def request_id(self, number: int) -> str:
         """The id of one key's request."""
         return f"{self.name}.{number}"
@@ -248,7 +297,7 @@
             words=section.part_kib << 10,
             side_by_side=section.parts_of_server,
         )
-        self.parts: Parts[Attempt] = Parts(bounds, min(cls.aim for cls in settings.classes))
+        self.parts: Parts[KeyAttempt] = Parts(bounds, min(cls.aim for cls in settings.classes))
         self.hedges = HedgeBudget(section.hedge_share)
         self.margin = section.margin_ms * NS_PER_MS
         self._kinds = frozenset(section.node_kinds)
@@ -256,6 +305,8 @@
         self._reads: dict[str, ManyRead] = {}
         self._changed: dict[ManyRead, None] = {}
         self._of: dict[Gathering, ManyRead] = {}
+        self.light = 0
+        """Keys that the module has been told of and that have no open request."""
         self._scheduled = False
         self._turns = 0  # in a row in which keys were dealt
         self._retry: asyncio.TimerHandle | None = None
@@ -349,8 +400,8 @@
 
     def drop(self, read: ManyRead) -> None:
         """What waits to be sent for a command is not sent."""
-        for attempt in self.parts.drop(read):
-            attempt.end(Outcome.MOOT)
+        for key in self.parts.drop(read):
+            key.made().end(Outcome.MOOT)
         for exchange in list(read.exchanges):
             if exchange.connection is None:
                 exchange.end(Outcome.MOOT)
@@ -384,8 +435,7 @@
         self._turns = self._turns + 1 if dealt is not None else 0
         if dealt is not None:
             gathering, numbers = dealt
-            for number in numbers:
-                self._ask(self._of[gathering], number)
+            self._ask(self._of[gathering], numbers)
             # One chunk a turn: single requests have their turns in between.
             self.schedule()
         elif self.shares.starved() and self._retry is None:
@@ -402,24 +452,61 @@
             self._of[stalled].reply.cut_off()
         self.schedule()
 
-    def _ask(self, read: ManyRead, number: int) -> None:
+    def _ask(self, read: ManyRead, numbers: list[int]) -> None:
         if read.over:
             return
-        key = read.gathering.keys[number]
-        command = read.command.read(number, key)
-        reply = KeyReply(read, number)
-        self.host.open(OpenRequest(read.request_id(number), command, reply, read.deadline, read))
+        fields, keys, name = read.command.fields, read.gathering.keys, read.name
+        asked = [KeyAttempt(read, number, f"{name}.{number}") for number in numbers]
+        names = [key.request_id for key in asked]
+        read.light.update(zip(names, asked, strict=True))
+        self.light += len(asked)
+        texts = [keys[number].decode() for number in numbers]
+        tenant = fields.get("t")
+        self.host.tell(KeysArrived(names, texts, fields["c"], read.deadline, tenant, name))
+
+    def opened(self, request_id: str) -> OpenRequest | None:
+        """The open request of a key that had none until now; None: there is no such key."""
+        read = self._reads.get(request_id.rpartition(".")[0])
+        key = read.light.get(request_id) if read is not None else None
+        return None if key is None else self.open(key)
+
+    def open(self, key: KeyAttempt) -> OpenRequest:
+        """Make a key's request an open one, and what was sent for it an attempt."""
+        read, number = key.read, key.number
+        del read.light[key.request_id]
+        self.light -= 1
+        command = read.command.read(number, read.gathering.keys[number])
+        request = OpenRequest(key.request_id, command, KeyReply(read, number), read.deadline, read)
+        self.host.enter(request)
+        if key.server:
+            key.attempt = self.host.attempt(request, key.server)
+            if key.part is not None:
+                key.attempt.begin(key.part)
+        return request
+
+    def offer_keys(self, action: SendKeys) -> None:
+        """The module has chosen a server for keys that it was just told of."""
+        read, server = self._reads[action.command], action.server
+        words, light, timeout = read.gathering.keys, read.light, action.timeout
+        offered: list[Queued[KeyAttempt]] = []
+        for request_id in action.requests:
+            key = light[request_id]
+            key.server, number = server, key.number
+            offered.append((False, number, key, len(words[number]) + 1, timeout))
+        self.parts.offer_all(server, read, offered)
+        self.schedule()
 
     def offer(self, read: ManyRead, attempt: Attempt, server: str, timeout: int) -> None:
-        """The module has chosen a server for a key."""
+        """The module has chosen a server for a key that is asked once more, or by itself."""
         command = attempt.command
         number = key_number(command)
-        suspect = number in read.suspects
-        self.parts.offer(server, read, attempt, number, len(command.key) + 1, timeout, suspect)
+        key = KeyAttempt(read, number, attempt.request_id, attempt)
+        self.parts.offer(server, read, key, number, len(command.key) + 1, timeout, number in read.suspects)
         self.schedule()
 
     def _send_parts(self, full_only: bool) -> None:
-        for attempt in self.parts.blocked():
+        for key in self.parts.blocked():
+            attempt = key.made()
             attempt.spare(always=True)  # never sent: it says nothing
             attempt.end(Outcome.MOOT)
         parts = self.parts.due(self.host.now(), self._speaks, full_only, TURN_PARTS)
@@ -438,27 +525,32 @@
 
     def left(self, server: str) -> None:
         """A server drains or is gone: nothing that waits for it is sent there."""
-        for attempt in self.parts.server_left(server):
-            attempt.end(Outcome.CONNECT_FAILED)
+        for key in self.parts.server_left(server):
+            key.made().end(Outcome.CONNECT_FAILED)
 
     def abandon(self) -> None:
         """The router ends."""
         for read in list(self._reads.values()):
+            for key in list(read.light.values()):
+                self.open(key)
             self.forget(read)
 
 
 class PartExchange(Exchange):
     """Keys of one command on one connection: as one command, or as single reads one behind another."""
 
-    def __init__(self, reads: ManyReads, part: Part[Attempt]) -> None:
+    def __init__(self, reads: ManyReads, part: Part[KeyAttempt]) -> None:
         self._reads, self._part = reads, part
         read = part.owner
         assert isinstance(read, ManyRead)
         self._read: ManyRead = read
         read.exchanges[self] = None
         host, now = reads.host, reads.host.now()
-        for attempt in part.items:
-            attempt.begin(now, self)
+        self.begun_at, self.lag_before = now, host.lag.total(now)
+        self._served: list[str] = []  # keys that are answered, of which the module has not heard
+        self._latency = 0  # one key's share of their time
+        for key in part.items:
+            key.begin(self)
         due = min(now + part.patience, read.deadline) if part.patience else read.deadline
         self._due = due
         hedged = part.slow_after and host.settings.second_copies
@@ -469,7 +561,10 @@
     def _look_at(self) -> None:
         """One timer for all that a part waits for: most are over before any of it."""
         at = min(self._due, self._slow_at, self._held_up_at)
-        self._timer = self._reads.host.call_at(at, lambda: after_news(self._reads.loop, self._look))
+        self._timer = self._reads.host.call_at(at, self._look_soon)
+
+    def _look_soon(self) -> None:
+        after_news(self._reads.loop, self._look)
 
     def _look(self) -> None:
         if self.over:
@@ -491,21 +586,21 @@
         part.heard_at = now  # the wait for a connection is not the server's silence
         left = max((self._read.deadline - now) // NS_PER_MS, 1)
         wanted = []
-        for attempt in part.items:
-            if attempt.wanted:
-                wanted.append(attempt)
+        for key in part.items:
+            if key.wanted:
+                wanted.append(key)
             else:
-                attempt.end(Outcome.MOOT)
+                key.made().end(Outcome.MOOT)
         part.items = wanted
         if not wanted:
             self._reads.loop.call_soon(self.give_up, Outcome.MOOT)
             return b""
-        reads = [attempt.command for attempt in wanted]
-        info = reads[0].info_for(left)
+        info, keys = self._read.info_for(left), self._read.gathering.keys
         if not part.as_one:
-            return b"".join([read_command(read.key, read.id, info) for read in reads])
+            return b"".join([read_command(keys[key.number], key.request_id.encode(), info) for key in wanted])
         self.array_expected = True
-        return command(MANY, b"%d" % len(reads), *[read.key for read in reads], reads[0].id, info)
+        name = wanted[0].request_id.encode()
+        return command(MANY, b"%d" % len(wanted), *[keys[key.number] for key in wanted], name, info)
 
     def array_begins(self, count: int) -> None:
         """Each key has its answer in the array; an error line stands for all of them."""
@@ -522,7 +617,7 @@
         part = self._part
         if self._one_line:
             return False
-        attempt = part.items[part.answered]
+        attempt = part.items[part.answered].made()
         attempt.took(self._reads.parts.answer(part, part.sent_at + attempt.elapsed()))
         if part.answered + 1 == len(part.items):
             return False
@@ -530,13 +625,53 @@
         attempt.end(outcome, answer)
         return True
 
+    @property
+    def plain(self) -> int:
+        """How many of the next keys have no attempt made for them, and still are their command's."""
+        if self._one_line:
+            return 0
+        part, count = self._part, 0
+        for key in part.items[part.answered :]:
+            if key.attempt is not None:
+                break
+            count += 1
+        return count
+
+    def hits_came(self, entries: list[bytes]) -> bool:
+        """Take those keys' values; whether the part is answered."""
+        reads, read, part = self._reads, self._read, self._part
+        first, host, now = part.answered, reads.host, reads.host.now()
+        taken = part.items[first : first + len(entries)]
+        held_up = host.lag.total(now) - self.lag_before
+        part.answered += len(taken) - 1
+        self._latency = reads.parts.answer(part, max(now - held_up, part.sent_at + 1))
+        part.answered += 1
+        for key in taken:
+            del read.light[key.request_id]
+        reads.light -= len(taken)
+        names = [key.request_id for key in taken]
+        self._served += names
+        if host.ledger is not None:
+            fields = read.command.fields
+            for name, entry in zip(names, entries, strict=True):
+                host.ledger.serve(name, now, bulk_length(entry))
+                host.ledger.attempt(fields["c"], fields.get("t"), Outcome.OK.value, False)
+        read.gathering.end_all([key.number for key in taken], entries)
+        reads.schedule(read)
+        return part.answered == len(part.items)
+
+    def _tell_served(self) -> None:
+        served, self._served = self._served, []
+        if served:
+            self._reads.host.tell(KeysServed(served, self._part.server, self._latency))
+
     def value_started(self, length: int, source: ValueSource) -> None:
         """The next key's value is a long one."""
-        self._part.items[self._part.answered].value_started(length, source)
+        self._part.items[self._part.answered].made().value_started(length, source)
 
     def value_came(self, data: bytes) -> None:
         """A part of it has come."""
-        self._part.items[self._part.answered].value_came(data)
+        self._part.items[self._part.answered].made().value_came(data)
 
     def _see_whether_slow(self, now: int) -> int:
         """The last part out is slower than usual: its keys may have a second copy each, while that lasts.
@@ -547,9 +682,10 @@
         left = part.left
         if gathering.waiting or gathering.open > len(left):
             return now + max(part.slow_after, LOOK_AGAIN_NS)
-        for attempt in left:
-            if attempt.wanted and reads.hedges.spend():
-                reads.host.tell(AttemptSlow(attempt.request_id))
+        for key in left:
+            if key.wanted and reads.hedges.spend():
+                key.made()
+                reads.host.tell(AttemptSlow(key.request_id))
         return NEVER
 
     def _see_whether_held_up(self, now: int) -> int:
@@ -561,12 +697,14 @@
         wait, behind = (part.held_up_after, []) if connection is None else reads.parts.held_up(part, now)
         if wait:
             return now + wait
+        self._tell_served()  # the part may live on for long
         head = part.left[0]
         if not head.streaming:  # else its own client holds it up, and no server
             self._suspect([head, *behind] if part.as_one else [head])
         if connection is not None and behind:
             connection.retired = True  # what still comes behind that key's answer is nobody's
-        for attempt in behind:
+        for key in behind:
+            attempt = key.made()
             attempt.spare(head.streaming)
             attempt.end(Outcome.TIMEOUT)
         if part.as_one and not part.answered:
@@ -574,9 +712,9 @@
         reads.schedule()
         return NEVER
 
-    def _suspect(self, attempts: list[Attempt]) -> None:
+    def _suspect(self, keys: list[KeyAttempt]) -> None:
         """From now on these keys travel alone: one of them holds others up."""
-        self._read.suspects.update(key_number(attempt.command) for attempt in attempts)
+        self._read.suspects.update(key.number for key in keys)
 
     def _timed_out(self) -> None:
         # A long value that has begun goes on; those behind it have been taken out by then.
@@ -590,12 +728,15 @@
         self._read.exchanges.pop(self, None)
         left = part.left
         self._reads.parts.end(part)
+        self._tell_served()
         if left:
             if outcome not in (Outcome.OK, Outcome.MISS, Outcome.CONNECT_FAILED):
                 self._suspect(left if part.as_one else left[:1])
-            left[0].stale = self.stale
-            left[0].end(outcome, answer)
-            for attempt in left[1:]:
+            head = left[0].made()
+            head.stale = self.stale
+            head.end(outcome, answer)
+            for key in left[1:]:
+                attempt = key.made()
                 # One event is held against the server once: on the first of its keys.
                 if outcome is not Outcome.CONNECT_FAILED:
                     attempt.spare()
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -21,6 +21,7 @@
     ClientGone,
     Event,
     Fail,
+    KeysArrived,
     ListKind,
     Outcome,
     Probe,
@@ -31,6 +32,7 @@
     Router,
     RouterLate,
     Send,
+    SendKeys,
     ServersChanged,
     ServerState,
     SetTimer,
@@ -128,10 +130,10 @@
         """Whether a long value of it is under way."""
         return self._source is not None
 
-    def begin(self, now: int, part: PartExchange) -> None:
-        """It leaves now, in this part."""
+    def begin(self, part: PartExchange) -> None:
+        """It has left in this part."""
         self._part = part
-        self._sent_at, self._lag_before = now, self._host.lag.total(now)
+        self._sent_at, self._lag_before = part.begun_at, part.lag_before
 
     def elapsed(self) -> int:
         """Nanoseconds that its server has had."""
@@ -362,7 +364,7 @@
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.send(b"-ERR duplicate id\r\n")
             self.turned_away(command, failed="duplicate id")
-        elif len(self._requests) >= self._max_open:
+        elif self.room <= 0:
             reply.send(b"-BUSY\r\n")
             self.turned_away(command, refused="open requests")
         else:
@@ -376,14 +378,14 @@
         reply.forgotten()
 
     def open(self, request: OpenRequest) -> None:
-        """Give the module a request, or one key of a read of many; it is accounted for already."""
+        """Give the module a request; it is accounted for already."""
         request.reply.request = request
-        request_id, command, read = request.id, request.command, request.read
+        request_id, command = request.id, request.command
         self._requests[request_id] = request
         fields = command.fields
         tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
-        retry, whole = fields.get("r") == "1", read.name if read is not None else None
-        self.tell(RequestArrived(request_id, fields["c"], request.deadline, tenant, key, write, retry, whole))
+        retry = fields.get("r") == "1"
+        self.tell(RequestArrived(request_id, fields["c"], request.deadline, tenant, key, write, retry))
 
     def knows(self, request_id: str) -> bool:
         """Whether a request has this id that is owed an answer, or has attempts out still."""
@@ -396,12 +398,19 @@
 
     def request(self, request_id: str) -> OpenRequest | None:
         """The request of this id, if the module has it."""
-        return self._requests.get(request_id)
+        found = self._requests.get(request_id)
+        return found if found is not None or self.many is None else self.many.opened(request_id)
+
+    def enter(self, request: OpenRequest) -> None:
+        """A key of a read of many, which the module has heard of already, gets a place of its own here."""
+        request.reply.request = request
+        self._requests[request.id] = request
 
     @property
     def room(self) -> int:
         """How many more requests may be open."""
-        return self._max_open - len(self._requests)
+        light = self.many.light if self.many is not None else 0
+        return self._max_open - len(self._requests) - light
 
     def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
         """Account for a request that the module never hears of."""
@@ -435,10 +444,10 @@
         if self.ledger is not None:
             for request_id in self.open_requests():
                 self.ledger.fail(request_id, self.now(), "router ended")
-        for request in self._requests.values():
-            request.closed = request.accounted = True
         if self.many is not None:
             self.many.abandon()
+        for request in self._requests.values():
+            request.closed = request.accounted = True
 
     def settle(self, request: OpenRequest) -> None:
         """Forget a request that is answered and has nothing out."""
@@ -447,7 +456,7 @@
             request.reply.forgotten()
 
     def _answer(self, request_id: str, data: bytes, refused: str = "", failed: str = "") -> None:
-        request = self._requests.get(request_id)
+        request = self.request(request_id)
         if request is not None and not request.closed:
             request.closed = True
             if self.ledger is not None:
@@ -518,22 +527,30 @@
 
     def _give_what_is_owed(self, event: Event) -> None:
         """A fault in the decisions must not leave a client without its answer."""
+        owed: list[str] = []
         if isinstance(event, RequestArrived | AttemptEnded):
-            request = self._requests.get(event.request)
+            owed = [event.request]
+        elif isinstance(event, KeysArrived):
+            owed = event.requests
+        for request_id in owed:
+            request = self.request(request_id)
             if request is not None and not request.out:
-                self._answer(event.request, FAILED, failed="fault")
+                self._answer(request_id, FAILED, failed="fault")
 
     def _carry_out(self, action: Action) -> None:
         match action:
             case Send():
                 self._send(action)
+            case SendKeys():
+                assert self.many is not None
+                self.many.offer_keys(action)
             case SetTimer():
                 self._set_timer(self.now() + action.delay, action.token)
             case Refuse():
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
                 self._answer(action.request, b"-BUSY%b\r\n" % wait, refused=action.reason.value)
             case Fail():
-                request = self._requests.get(action.request)
+                request = self.request(action.request)
                 missing = action.reason is Reason.MISSING and request is not None
                 data = request.reply.null if missing and request is not None else FAILED
                 self._answer(action.request, data, failed=action.reason.value)
@@ -545,8 +562,12 @@
                     action.server, ProbeExchange(self, action.server, to_origin, self._probe_timeout)
                 )
 
+    def attempt(self, request: OpenRequest, server: str) -> Attempt:
+        """What is sent to this server for a request."""
+        return Attempt(self, request, server, server in self._origins, self.now())
+
     def _send(self, action: Send) -> None:
-        request = self._requests.get(action.request)
+        request = self.request(action.request)
         if request is None:
             log.error("the module sent a request that is over")
             return
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -74,6 +74,15 @@
         """Take one answer of several; False: it is the last, and `ended` takes it."""
         return False
 
+    @property
+    def plain(self) -> int:
+        """How many of the next answers need no more than their value's bytes, where they are hits."""
+        return 0
+
+    def hits_came(self, entries: list[bytes]) -> bool:
+        """Take so many of those answers, each its value as a bulk string; whether that was the last."""
+        raise NotImplementedError
+
     def end(self, outcome: Outcome, answer: Answer = NOTHING) -> None:
         """End it, unless it has ended."""
         if not self.over:
@@ -149,11 +158,21 @@
         self._kept = True
         if exchange is not None and exchange.takes_more(outcome, answer):
             return
+        self._free()
+        if exchange is not None:
+            exchange.end(outcome, answer)
+
+    def hits(self, exchange: Exchange, entries: list[bytes]) -> None:
+        """Take answers that need no more than their values; `finish` for many."""
+        self._kept = True
+        if exchange.hits_came(entries):
+            self._free()
+            exchange.end(Outcome.OK)
+
+    def _free(self) -> None:
         self.exchange, self._answering = None, False
         self.look_behind()
         self.server.pool.released(self)
-        if exchange is not None:
-            exchange.end(outcome, answer)
 
     def spoil(self, reason: str) -> None:
         """End the exchange for an answer that can't be read, and the connection with it."""
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -182,6 +182,32 @@
     """The command that this read belongs to, where one asks for many keys."""
 
 
+@dataclass(slots=True, unsafe_hash=True)  # frozen ones take three times as long to make
+class KeysArrived:
+    """Reads of one command that are asked at once, each of them a request of its own like any other."""
+
+    requests: list[str]
+    keys: list[str]
+    """One for each request, in the same order."""
+    request_class: str
+    deadline: int
+    tenant: str | None
+    command: str
+
+
+@dataclass(slots=True, unsafe_hash=True)
+class KeysServed:
+    """Attempts of one SendKeys that ended well, each with its request's final answer.
+
+    They stand for one event at their server: `latency` is one key's share of the time that all took.
+    Nothing else may have been sent for them, and nothing else told of them.
+    """
+
+    requests: list[str]
+    server: str
+    latency: int
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptSlow:
     """A read's attempt takes long, and its client can pay for a second copy."""
@@ -247,6 +273,8 @@
 Event = (
     ServersChanged
     | RequestArrived
+    | KeysArrived
+    | KeysServed
     | AttemptSlow
     | StreamStarted
     | AttemptEnded
@@ -266,6 +294,17 @@
     timeout: int = 0
 
 
+@dataclass(slots=True, unsafe_hash=True)
+class SendKeys:
+    """Start an attempt, the first, at this server for each of a command's reads; they may travel together."""
+
+    requests: list[str]
+    server: str
+    command: str
+    timeout: int = 0
+    """For each, as Send's."""
+
+
 class Reason(Enum):
     """Why a request was given up; for the account of it only."""
 
@@ -316,4 +355,4 @@
     server: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe
+Action = Send | SendKeys | Refuse | Fail | SetTimer | Subscribe | Probe
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -72,6 +72,11 @@
         """
         return min(1.0, self._chance + (now - self._judged_at) / REGAIN) if self._chance < 1.0 else 1.0
 
+    @property
+    def sound(self) -> bool:
+        """Whether nothing is held against it."""
+        return self._chance >= 1.0
+
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
         chance = self.chance(now)
@@ -126,6 +131,10 @@
         warm = not node.entry.started or age >= cold_time
         return 1.0 if warm else cold + (1 - cold) * age / cold_time
 
+    def settled(self, now: int) -> dict[int, list[Node]]:
+        """Rankings by slot, of those that are known and change by no ramp; `rank` tells the others."""
+        return self._ranked if now >= self._cold_until else {}
+
     def rank(self, slot: int, now: int, depth: int = DEPTH) -> Sequence[Node]:
         """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
         known = self._ranked.get(slot, ())
@@ -149,12 +158,12 @@
         self._counts: dict[int | str, float] = {}
         self._total = 0.0
 
-    def add(self, slot: int | str) -> float:
-        """Count a request of this slot; returns the slot's share before it."""
+    def add(self, slot: int | str, requests: int = 1) -> float:
+        """Count requests of this slot; returns the slot's share before them."""
         count = self._counts.get(slot, 0.0)
-        share = count / max(self._total, 1.0)
-        self._counts[slot] = count + 1
-        self._total += 1
+        share = count / self._total if self._total > 1.0 else count
+        self._counts[slot] = count + requests
+        self._total += requests
         if self._total >= HEAT_MEMORY:
             self._counts = {slot: count / 2 for slot, count in self._counts.items() if count > 1}
             self._total = sum(self._counts.values())
@@ -231,24 +240,21 @@
 class Request:
     """An open request; it lives on after its final answer until its attempt has ended."""
 
-    __slots__ = (  # noqa: RUF023
-        "id", "key", "deadline", "write", "cls", "guard", "slot", "sends", "sent_at", "share",
-        "failed", "node", "ran", "fetching", "refetching", "out", "leads", "waiting", "done",
-        "command", "queued", "twin",
-    )  # fmt: skip
-
-    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
-        self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
+    slot = sends = sent_at = 0
+    share = 0.0
+    node: Node | None = None
+    ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
+    fetching = refetching = out = leads = waiting = done = False
+    command: Command | None = None
+    queued = False  # stands in its command's line for a fetch
+    twin: Node | None = None  # asked for a second copy while the first is out
+
+    def __init__(
+        self, name: str, key: str | None, deadline: int, write: bool, cls: api.RequestClass, guard: Suppressor
+    ) -> None:
+        self.id, self.key, self.deadline, self.write = name, key, deadline, write
         self.cls, self.guard = cls, guard
-        self.slot = self.sends = self.sent_at = 0
-        self.share = 0.0
         self.failed: list[Node] = []
-        self.node: Node | None = None
-        self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
-        self.fetching = self.refetching = self.out = self.leads = self.waiting = self.done = False
-        self.command: Command | None = None
-        self.queued = False  # stands in its command's line for a fetch
-        self.twin: Node | None = None  # asked for a second copy while the first is out
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -306,6 +312,10 @@
                 self._attempt_ended(event)
             case api.RequestArrived():
                 self._arrived(event)
+            case api.KeysServed():
+                self._keys_served(event)
+            case api.KeysArrived():
+                self._keys_arrived(event)
             case api.ServersChanged():
                 self._servers_changed(event)
             case api.TimerFired():
@@ -353,7 +363,8 @@
 
     def _arrived(self, event: api.RequestArrived) -> None:
         guard = self._guards.get(event.tenant or "", self._guards[""])
-        request = Request(event, self._classes[event.request_class], guard)
+        cls = self._classes[event.request_class]
+        request = Request(event.request, event.key, event.deadline, event.write, cls, guard)
         request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
         self._requests[request.id] = request
         if event.command is not None:
@@ -366,6 +377,56 @@
             guard.excess = (self._usage.add(event.tenant or "") / max(guard.portion, 0.001)) ** 2
             self._route(request)
 
+    def _keys_arrived(self, event: api.KeysArrived) -> None:
+        """Each key is decided on as a request of its own; those that go to one server are told together."""
+        guard = self._guards.get(event.tenant or "", self._guards[""])
+        cls, now = self._classes[event.request_class], self._now
+        cold, settled = HEAT_SHARE / max(len(self._caches.nodes), 1), self._caches.settled(now)
+        command = self._commands.setdefault(event.command, Command(event.command))
+        command.open += len(event.requests)
+        usage = self._usage.add(event.tenant or "", len(event.requests))
+        guard.excess = (usage / max(guard.portion, 0.001)) ** 2
+        sends: dict[Node, api.SendKeys] = {}
+        for name, key in zip(event.requests, event.keys, strict=True):
+            request = self._requests[name] = Request(name, key, event.deadline, False, cls, guard)
+            slot = request.slot = crc32(key.encode()) % SLOTS
+            request.command, request.share = command, self._heat.add(slot)
+            if request.share > cold:
+                ranking = self._candidates(request)
+            else:
+                ranking = settled.get(slot) or self._caches.rank(slot, now)
+            # The plain case of _route: the first choice is sound, and there is time left.
+            if not ranking or not ranking[0].sound or now >= event.deadline:
+                self._route(request)
+                continue
+            node = ranking[0]
+            request.sends, request.node, request.sent_at, request.out = 1, node, now, True
+            node.load += 1
+            if (send := sends.get(node)) is None:
+                send = sends[node] = api.SendKeys(
+                    [], node.entry.id, event.command, self._patience(request, node)
+                )
+                self._actions.append(send)
+            send.requests.append(name)
+
+    def _keys_served(self, event: api.KeysServed) -> None:
+        judged: Node | None = None
+        for name in event.requests:
+            request = self._requests.pop(name, None)
+            if request is None or request.node is None or request.command is None:
+                continue
+            node, command = request.node, request.command
+            node.load -= 1
+            command.open -= 1
+            request.out, request.done = False, True
+            if not command.open:
+                del self._commands[command.name]
+            if node is not judged:  # one event, one judgement
+                judged, late = node, event.latency > request.cls.aim
+                node.judge(Outcome.OK, late, self._now)
+                node.pace.learn(event.latency)
+                self._answers.learn(event.latency)
+
     def _send(self, request: Request, node: Node) -> None:
         request.sends += 1
         request.node, request.sent_at, request.out = node, self._now, True
--- a/pebblepass/manykeys/__init__.py
+++ b/pebblepass/manykeys/__init__.py
@@ -8,7 +8,7 @@
 from pebblepass.manykeys.command import ManyKeys, parse_many
 from pebblepass.manykeys.gathering import Gathering, State
 from pebblepass.manykeys.hedging import HedgeBudget
-from pebblepass.manykeys.parts import Part, PartBounds, Parts
+from pebblepass.manykeys.parts import Part, PartBounds, Parts, Queued
 from pebblepass.manykeys.shares import ShareBounds, Shares
 
 __all__ = [
@@ -18,6 +18,7 @@
     "Part",
     "PartBounds",
     "Parts",
+    "Queued",
     "ShareBounds",
     "Shares",
     "State",
--- a/pebblepass/manykeys/gathering.py
+++ b/pebblepass/manykeys/gathering.py
@@ -96,6 +96,18 @@
         self.open -= 1
         self.held += len(entry)
 
+    def end_all(self, numbers: Sequence[int], entries: Sequence[bytes]) -> None:
+        """`end` for many, each with its entry."""
+        states, kept, held, asked, ended = self._states, self._entries, 0, State.ASKED, State.ENDED
+        for number, entry in zip(numbers, entries, strict=True):
+            assert states[number] is asked
+            states[number] = ended
+            kept[number] = entry
+            held += len(entry)
+        self.asked -= len(numbers)
+        self.open -= len(numbers)
+        self.held += held - len(numbers) * self._value_bytes
+
     def stream(self, number: int) -> None:
         """A number's value is too long: it is announced, and passes by when its turn comes."""
         assert self._states[number] is State.ASKED
@@ -163,15 +175,20 @@
     def due(self) -> list[bytes]:
         """What may be written now, in order: each entry once for each of its places."""
         out: list[bytes] = []
-        while self._passing is None and self._at < len(self._places):
-            number = self._places[self._at]
-            entry = self._entries[number]
-            if self._states[number] is not State.ENDED or entry is None:
+        places, states, entries, uses, ended = (
+            self._places, self._states, self._entries, self._uses, State.ENDED,
+        )  # fmt: skip
+        at, freed = self._at, 0
+        while self._passing is None and at < len(places):
+            number = places[at]
+            entry = entries[number]
+            if entry is None or states[number] is not ended:
                 break
             out.append(entry)
-            self._at += 1
-            self._uses[number] -= 1
-            if not self._uses[number]:
-                self._entries[number] = None
-                self.held -= len(entry)
+            at += 1
+            uses[number] -= 1
+            if not uses[number]:
+                entries[number] = None
+                freed += len(entry)
+        self._at, self.held = at, self.held - freed
         return out
--- a/pebblepass/manykeys/parts.py
+++ b/pebblepass/manykeys/parts.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import Generic, TypeVar
 
 Item = TypeVar("Item")
@@ -68,20 +69,16 @@
         return self.items[self.answered :]
 
 
-@dataclass(slots=True)
-class _Queued(Generic[Item]):
-    item: Item
-    order: int
-    size: int
-    patience: int
-    alone: bool
+Queued = tuple[bool, int, Item, int, int]
+"""A key that waits: whether it has to go alone, its place in the command, itself, its bytes, its patience."""
+_TURN = itemgetter(0, 1)
 
 
 class _Server(Generic[Item]):
     """One server: what waits for it by command, what runs, and how long a key takes it."""
 
     def __init__(self) -> None:
-        self.queues: dict[Hashable, list[_Queued[Item]]] = {}
+        self.queues: dict[Hashable, list[Queued[Item]]] = {}
         self.turns: deque[Hashable] = deque()  # the commands that wait, in the order of their turns
         self.running = 0
         self.stuck: Counter[Hashable] = Counter()  # parts that are stuck, by command
@@ -129,6 +126,13 @@
         `patience`: nanoseconds after which one such attempt counts as lost, 0: never. `alone`: it has held up
         a part before, and must not hold up another.
         """
+        self._queue(server, owner).append((alone, order, item, size, patience))
+
+    def offer_all(self, server: str, owner: Hashable, queued: Iterable[Queued[Item]]) -> None:
+        """The same for many."""
+        self._queue(server, owner).extend(queued)
+
+    def _queue(self, server: str, owner: Hashable) -> list[Queued[Item]]:
         held = self._servers.get(server)
         if held is None:
             held = self._servers[server] = _Server()
@@ -137,8 +141,8 @@
         if queue is None:
             queue = held.queues[owner] = []
             held.turns.append(owner)
-        queue.append(_Queued(item, order, size, patience, alone))
         self._ready[server] = None
+        return queue
 
     def due(
         self, now: int, speaks: Callable[[str], bool], full_only: bool = False, most: int = 1 << 30
@@ -167,21 +171,23 @@
         owner = held.turns.popleft()
         queue = held.queues[owner]
         # Danger: a long value may wait for those ahead of it in the list. What has to go alone goes last.
-        queue.sort(key=lambda queued: (queued.alone, queued.order))
-        most, size, count = min(most, len(queue)), queue[0].size, 1
-        while count < most and not queue[count].alone and size + queue[count].size <= self._bounds.words:
-            size += queue[count].size
+        if len(queue) > 1:
+            queue.sort(key=_TURN)
+        most, size, count = min(most, len(queue)), queue[0][3], 1
+        while count < most and not queue[count][0] and size + queue[count][3] <= self._bounds.words:
+            size += queue[count][3]
             count += 1
-        chosen, queue[:count] = queue[:count], []
-        if queue:
+        if count < len(queue):
+            chosen, queue[:count] = queue[:count], []
             held.turns.append(owner)
         else:
+            chosen = queue
             del held.queues[owner]
         held.running += 1
-        part = Part(server, owner, [queued.item for queued in chosen], now, as_one)
-        first = chosen[0].patience
+        part = Part(server, owner, [queued[2] for queued in chosen], now, as_one)
+        first = chosen[0][4]
         behind = int(held.per_key * PATIENCE * (count - 1))
-        part.patience = first + behind if first and all(queued.patience for queued in chosen) else 0
+        part.patience = first + behind if first and all(queued[4] for queued in chosen) else 0
         part.slow_after = held.enough(count) if held.usual else 0
         # A server that works on all keys at once answers the first only when nearly all are done.
         part.held_up_after = int(self._aim * HELD_UP_SHARE) + held.enough(count)
@@ -221,7 +227,7 @@
         if owner not in held.queues:
             return []
         held.turns.remove(owner)
-        return [queued.item for queued in held.queues.pop(owner)]
+        return [queued[2] for queued in held.queues.pop(owner)]
 
     def _most_keys(self, held: _Server[Item], as_one: bool) -> int:
         bounds = self._bounds
@@ -268,7 +274,7 @@
         held = self._servers.get(server)
         if held is None:
             return []
-        left = [queued.item for queue in held.queues.values() for queued in queue]
+        left = [queued[2] for queue in held.queues.values() for queued in queue]
         held.queues.clear()
         held.turns.clear()
         self._ready.pop(server, None)
--- a/pebblepass/wire/answers.py
+++ b/pebblepass/wire/answers.py
@@ -94,6 +94,28 @@
             raise AnswerError("a value of another length than it told")
         return self._array(self._places, self._count, 2) if len(data) >= 2 else None
 
+    def hits(self, most: int) -> list[bytes]:
+        """The next answers that are hits in the usual form and whole, `most` at most: each value as it came,
+
+        a bulk string. What follows them, and whatever is not that plain, is left for `next`.
+        """
+        data, at, entries = self.held, 0, list[bytes]()
+        if self._places is not None or len(data) < self._need:
+            return entries
+        while len(entries) < most:
+            head = _WHOLE.match(data, at)
+            if head is None:
+                break
+            end = head.end() + int(head[1])
+            rest = _AFTER_VALUE.match(data, end)
+            if end - head.end() > LARGE or rest is None or len(rest[2]) != int(rest[1]):
+                break
+            entries.append(data[at + 4 : end + 2])
+            at = rest.end()
+        if entries:
+            self.held, self._need = data[at:], 0
+        return entries
+
     def _whole_hit(self, data: bytes) -> CutAnswer | None:
         """The answer, if it is a hit in the usual form and whole: nearly all are; None: look closer."""
         head = _WHOLE.match(data)
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -50,16 +50,9 @@
         value = len(self.value) if self.value is not None else 0
         return len(self.key) + len(self.id) + len(self.info) + value
 
-    def info_for(self, left_ms: int) -> bytes:
-        """The list to pass on, telling by `d` how long the router will wait."""
-        info = b"," + self.info
-        start = info.index(b",d=") + 3
-        end = info.find(b",", start)
-        return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
-
     def as_bytes(self, left_ms: int) -> bytes:
         """The command to pass on, with what is left of its time."""
-        info = self.info_for(left_ms)
+        info = info_for(self.info, left_ms)
         if self.value is not None:
             return command(self.name, self.key, self.id, info, self.value)
         return read_command(self.key, self.id, info)
@@ -229,6 +222,14 @@
     return word.isascii() and word.decode("ascii").isprintable()
 
 
+def info_for(told: bytes, left_ms: int) -> bytes:
+    """The list of names and values to pass on, telling by `d` how long the router will wait."""
+    info = b"," + told
+    start = info.index(b",d=") + 3
+    end = info.find(b",", start)
+    return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
+
+
 def read_command(key: bytes, name: bytes, info: bytes) -> bytes:
     """Encode one read: in one format, as nearly all commands are reads."""
     sizes = len(key), key, len(name), name, len(info), info
@@ -240,6 +241,11 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
+def bulk_length(encoded: bytes) -> int:
+    """The bytes of a bulk string's value, by its header."""
+    return int(encoded[1 : encoded.index(b"\r")])
+
+
 def command(*words: bytes) -> bytes:
     """Encode one command."""
     return b"*%d\r\n%b" % (len(words), b"".join(map(bulk, words)))
--- a/tests/manykeys/test_parts.py
+++ b/tests/manykeys/test_parts.py
@@ -218,7 +218,7 @@
     @invariant()
     def every_waiting_key_stands_in_one_queue(self) -> None:
         held = [
-            queued.item
+            queued[2]
             for server in self.parts._servers.values()
             for queue in server.queues.values()
             for queued in queue
