Read a list of names and values once for many requests, and make attempts leaner

Change: what clients say beside an id is read once and remembered (256 lists of 128 bytes at most); an attempt's fields that most never need are its class's; an exchange that stands for one request is not asked whether it stands for several.

--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pebblepass.daemon.upstream import Answer, Connection, Server
+from pebblepass.daemon.upstream import Answer, Connection, Exchange, Server
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.answers import AnswerCutter, AnswerError, CutAnswer
 
@@ -26,12 +26,7 @@
             if self._left and not self._pass_on():
                 return
             try:
-                if exchange.array_expected:
-                    if (count := cutter.array()) is None:
-                        return
-                    exchange.array_begins(count)
-                if (plain := exchange.plain) and (entries := cutter.hits(plain)):
-                    self.hits(exchange, entries)
+                if exchange.several and self._several(exchange):
                     continue
                 answer = cutter.next()
             except AnswerError as error:
@@ -47,6 +42,18 @@
             else:
                 return
 
+    def _several(self, exchange: Exchange) -> bool:
+        """Take the array's head that is due, or plain hits; False: look at the next answer by itself."""
+        cutter = self._cutter
+        if exchange.array_expected:
+            if (count := cutter.array()) is None:
+                return False  # nothing behind it is whole either
+            exchange.array_begins(count)
+        entries = cutter.hits(exchange.plain)
+        if entries:
+            self.hits(exchange, entries)
+        return bool(entries)
+
     def look_behind(self) -> None:
         """The exchange is over: what stands behind its answers belongs to nobody."""
         # Danger: more bytes after the answer would be taken for the next request's answer. What they are
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -539,6 +539,8 @@
 class PartExchange(Exchange):
     """Keys of one command on one connection: as one command, or as single reads one behind another."""
 
+    several = True
+
     def __init__(self, reads: ManyReads, part: Part[KeyAttempt]) -> None:
         self._reads, self._part = reads, part
         read = part.owner
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -92,18 +92,20 @@
 class Attempt(Exchange):
     """One attempt at a request."""
 
+    # Set where it comes to that: nearly all attempts are over without it.
+    _latency = _length = 0  # until a long value's first bytes; that value's length
+    _source: ValueSource | None = None
+    _came_at = 0.0
+    _timer: Deadline | asyncio.TimerHandle | None = None
+    _part: PartExchange | None = None  # that carries it, where it has no connection for itself
+    _spared = False
+
     def __init__(
         self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool, now: int
     ) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
         self._sent_at, self._lag_before = now, host.lag.total(now)
-        self._latency = self._length = 0  # until a long value's first bytes; that value's length
-        self._source: ValueSource | None = None
-        self._came_at = 0.0
-        self._timer: Deadline | asyncio.TimerHandle | None = None
-        self._part: PartExchange | None = None  # that carries it, where it has no connection for itself
-        self._spared = False
         self.is_write = request.command.value is not None
         request.attempts += 1
         request.out += 1
@@ -567,7 +569,7 @@
         return Attempt(self, request, server, server in self._origins, self.now())
 
     def _send(self, action: Send) -> None:
-        request = self.request(action.request)
+        request = self._requests.get(action.request) or self.request(action.request)
         if request is None:
             log.error("the module sent a request that is over")
             return
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -48,6 +48,8 @@
     over = False
     is_probe = False
     is_write = False
+    several = False
+    """It stands for more than one request, each with an answer of its own."""
     array_expected = False
     """The answers come within one array, whose head is still to come."""
     stale = False
@@ -156,7 +158,7 @@
         """Take an answer; with the last one that the exchange expects it ends, and the connection is free."""
         exchange = self.exchange
         self._kept = True
-        if exchange is not None and exchange.takes_more(outcome, answer):
+        if exchange is not None and exchange.several and exchange.takes_more(outcome, answer):
             return
         self._free()
         if exchange is not None:
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -435,7 +435,9 @@
 
     def _patience(self, request: Request, node: Node) -> int:
         known, aim = self._fetches if request.fetching else self._answers, request.cls.aim
-        usual, spread = max(known.usual, node.pace.usual), max(known.spread, node.pace.spread)
+        usual, spread, pace = known.usual, known.spread, node.pace
+        usual = pace.usual if pace.usual > usual else usual
+        spread = pace.spread if pace.spread > spread else spread
         slow = usual + spread * SPREADS / 2 > aim * SLOW_SHARE
         first = not request.refetching if request.fetching else request.sends == 1
         if slow or not first or not request.may_repeat():
--- a/pebblepass/manykeys/command.py
+++ b/pebblepass/manykeys/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from pebblepass.wire.resp import MANY, MAX_KEYS, Command, check_key, read_fields
@@ -18,7 +19,7 @@
     """In the order asked; a key may stand more than once."""
     id: bytes
     info: bytes
-    fields: dict[str, str]
+    fields: Mapping[str, str]
     timeout_ms: int
 
     def read(self, number: int, key: bytes) -> Command:
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import lru_cache
+from types import MappingProxyType
 
 # Guards the memory (32 MB on some days) against strangers who announce values that no client has.
 MAX_VALUE = 64 << 10  # PROTOCOL: values hold at most 64 KiB
@@ -21,6 +24,7 @@
 )  # words of such a command that are cut, so that one too long is answered and passed over
 LEAST_WORD = 6  # bytes that a word takes up at least, with its header and ends
 MAX_KNOWN = 1024  # bytes of a command that is read in one step
+MAX_KNOWN_FIELDS = 128  # bytes of a list whose reading is remembered
 MAX_HEADER = 16  # a length line: its mark, digits and end
 
 
@@ -41,7 +45,7 @@
     id: bytes
     info: bytes
     value: bytes | None
-    fields: dict[str, str]
+    fields: Mapping[str, str]
     timeout_ms: int
 
     @property
@@ -201,10 +205,16 @@
         raise ValueError("key must be text without spaces") from None
 
 
-def read_fields(request: bytes, info: bytes) -> tuple[dict[str, str], int]:
+def read_fields(request: bytes, info: bytes) -> tuple[Mapping[str, str], int]:
     """The list of names and values beside an id, and the client's patience in milliseconds; ValueError."""
     # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not request or not info or not _plain(request + info):
+    if not request or not _plain(request):
+        raise ValueError("id and list must be plain text")
+    return _known_fields(info) if len(info) <= MAX_KNOWN_FIELDS else _fields(info)
+
+
+def _fields(info: bytes) -> tuple[Mapping[str, str], int]:
+    if not info or not _plain(info):
         raise ValueError("id and list must be plain text")
     try:
         fields: dict[str, str] = dict([part.split("=", 1) for part in info.decode("ascii").split(",")])
@@ -215,7 +225,11 @@
         raise ValueError("d must be a number of milliseconds")
     if not fields.get("c"):
         raise ValueError("c must name a class")
-    return fields, int(timeout)
+    return MappingProxyType(fields), int(timeout)
+
+
+# Clients say the same time and again. Short ones alone: strangers' lists must not fill the memory.
+_known_fields = lru_cache(256)(_fields)
 
 
 def _plain(word: bytes) -> bool:
