--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -97,14 +97,14 @@
         self.nodes: dict[str, Node] = {}
         self._settings = settings
         self._memo: dict[int, list[tuple[float, Node]]] = {}
-        self._ranked: dict[int, list[Node]] = {}  # the memo's nodes alone, while none of them is cold
+        self.settled: dict[int, list[Node]] = {}  # the memo's nodes alone, while none of them is cold
         self._cold_until = 0
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
         """Take over what changed in the list; other slots keep their rankings."""
         changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
         gone = {*left, *(entry.id for entry in changed)}
-        self._ranked.clear()
+        self.settled.clear()
         for server_id in gone:
             self.nodes.pop(server_id, None)
         if len(gone) > DEPTH:
@@ -131,13 +131,9 @@
         warm = not node.entry.started or age >= cold_time
         return 1.0 if warm else cold + (1 - cold) * age / cold_time
 
-    def settled(self, now: int) -> dict[int, list[Node]]:
-        """Rankings by slot, of those that are known and change by no ramp; `rank` tells the others."""
-        return self._ranked if now >= self._cold_until else {}
-
     def rank(self, slot: int, now: int, depth: int = DEPTH) -> Sequence[Node]:
         """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
-        known = self._ranked.get(slot, ())
+        known = self.settled.get(slot, ())
         if len(known) >= min(depth, len(self.nodes)) and now >= self._cold_until:
             return known
         held = self._memo.get(slot, [])
@@ -147,7 +143,7 @@
         if now < self._cold_until:
             ramped = [(score * self.warmth(node, now), node) for score, node in held]
             return [node for _, node in sorted(ramped, key=itemgetter(0), reverse=True)]
-        ranked = self._ranked[slot] = [node for _, node in held]
+        ranked = self.settled[slot] = [node for _, node in held]
         return ranked
 
 
@@ -381,7 +377,7 @@
         """Each key is decided on as a request of its own; those that go to one server are told together."""
         guard = self._guards.get(event.tenant or "", self._guards[""])
         cls, now = self._classes[event.request_class], self._now
-        cold, settled = HEAT_SHARE / max(len(self._caches.nodes), 1), self._caches.settled(now)
+        cold, settled = HEAT_SHARE / max(len(self._caches.nodes), 1), self._caches.settled
         command = self._commands.setdefault(event.command, Command(event.command))
         command.open += len(event.requests)
         usage = self._usage.add(event.tenant or "", len(event.requests))
--- a/tests/manykeys/test_gathering.py
+++ b/tests/manykeys/test_gathering.py
@@ -97,3 +97,19 @@
     gathering.end(2, entry(b"c"))
     assert gathering.due() == [entry(b"a"), b"-ERR failed\r\n", entry(b"c")]
     assert gathering.held == 0
+
+
+def test_many_that_end_at_once_are_as_if_each_had_ended_by_itself() -> None:
+    keys = [b"a", b"b", b"a", b"c", b"d"]
+    together, alone = Gathering(keys, VALUE), Gathering(keys, VALUE)
+    for gathering in (together, alone):
+        assert gathering.ask(3) == [0, 1, 2]
+    together.end_all([2, 0], [entry(b"c"), entry(b"a")])
+    for number, key in ((2, b"c"), (0, b"a")):
+        alone.end(number, entry(key))
+    for gathering in (together, alone):
+        assert (gathering.asked, gathering.open, gathering.held) == (1, 2, VALUE + 2 * len(entry(b"a")))
+        assert gathering.due() == [entry(b"a")]
+        gathering.end(1, entry(b"b"))
+        assert gathering.due() == [entry(b"b"), entry(b"a"), entry(b"c")]
+        assert gathering.held == 0
