--- a/benchmarks/many_keys.py
+++ b/benchmarks/many_keys.py
@@ -27,6 +27,7 @@
 
 from pebblepass.wire.resp import command
 
+NODES = (12, 38)
 OPERATORS = {
     "single reads to nodes": "[many_keys]\n",
     "lists to nodes": '[many_keys]\nnode_kinds = ["std"]\n',
@@ -114,33 +115,39 @@
 async def cost(site: Site, keys: int, more: str) -> dict[str, Any]:
     """CPU a key against single reads, by turns on one router; medians of the pairs' ratios."""
     found: dict[str, Any] = {}
-    for name, operator in OPERATORS.items():
-        router = await site.router(Case("lists", nodes=38), operator + more)
-        try:
-            await singles(router, Case("warm"), 1500)
-            await lists(router, 100, 2000)
-            for count in COUNTS:
-                ratios, each, served = [], [], 1.0
-                for _ in range(PAIRS):
-                    one, _ = await singles(router, Case("single", connections=16), keys // 4)
-                    many, part = await lists(router, count, keys // 2)
-                    ratios.append(many / one)
-                    each.append((one, many))
-                    served = min(served, part)
-                found[f"{name}, {count} keys"] = {
-                    "ratio": statistics.median(ratios),
-                    "from": min(ratios),
-                    "to": max(ratios),
-                    "single_us": statistics.median(one for one, _ in each),
-                    "key_us": statistics.median(many for _, many in each),
-                    "served": served,
-                    "peak_mb": router.memory_mb("VmHWM"),
-                }
-        finally:
-            router.end()
+    for nodes in NODES:
+        for name, operator in OPERATORS.items():
+            router = await site.router(Case("lists", nodes=nodes), operator + more)
+            try:
+                await singles(router, Case("warm", nodes=nodes), 1500)
+                await lists(router, 100, 2000)
+                for count in COUNTS:
+                    found[f"{nodes} nodes, {name}, {count} keys"] = await pairs(router, nodes, count, keys)
+            finally:
+                router.end()
     return found
 
 
+async def pairs(router: Process, nodes: int, count: int, keys: int) -> dict[str, Any]:
+    """Single reads and lists of `count` keys in turn."""
+    ratios, each, served = [], [], 1.0
+    for _ in range(PAIRS):
+        one, _ = await singles(router, Case("single", nodes=nodes, connections=16), keys // 4)
+        many, part = await lists(router, count, keys // 2)
+        ratios.append(many / one)
+        each.append((one, many))
+        served = min(served, part)
+    return {
+        "ratio": statistics.median(ratios),
+        "from": min(ratios),
+        "to": max(ratios),
+        "single_us": statistics.median(one for one, _ in each),
+        "key_us": statistics.median(many for _, many in each),
+        "served": served,
+        "peak_mb": router.memory_mb("VmHWM"),
+    }
+
+
 async def wall(site: Site, more: str) -> dict[str, Any]:
     """The time of one list of 100 keys against 100 pipelined reads of the same client, by turns."""
     router = await site.router(Case("wall", nodes=38), OPERATORS["single reads to nodes"] + more)
--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -74,6 +74,7 @@
 @click.option("--rate", type=click.FloatRange(0, min_open=True), help="Requests a second, likewise.")
 @click.option("--report", type=click.Path(path_type=Path), help="Write the report here, as JSON.")
 @click.option("--html", type=click.Path(path_type=Path), help="Write the report here, as a page with plots.")
+@click.option("--recovery", is_flag=True, help="Beside the calm twin and the bound; --html does so too.")
 @click.option("--real-time", is_flag=True, help="Against processes started by the deploy file's `run`.")
 @click.option(
     "--deploy",
@@ -90,6 +91,7 @@
     rate: float | None,
     report: Path | None,
     html: Path | None,
+    recovery: bool,
     real_time: bool,
     deploy: Path,
 ) -> None:
@@ -116,7 +118,7 @@
             _stop(f"{path}: no such folder")
     plan = make_plan(drawn, seed)
     try:
-        told = play(plan, deploy if real_time else None)
+        told = play(plan, deploy if real_time else None, recovery or html is not None)
     except RehearsalError as error:
         _stop(str(error))
         return
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -354,6 +354,10 @@
         found = self._loads[report] = resp.parse_load(report, self.settings.load_fields)
         return found
 
+    def limits(self) -> dict[str, float]:
+        """The fetches a second that each namespace may have now."""
+        return self._router.limits()
+
     # Clients
 
     def request_arrived(self, command: Command, reply: Reply) -> None:
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -324,6 +324,10 @@
                 self._finish(self._requests[event.request])
         return self._actions
 
+    def limits(self) -> dict[str, float]:
+        """The fetches a second that each tenant may have now, for the account of them only."""
+        return {name: guard.limit for name, guard in self._guards.items() if name}
+
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
             self._keep_subscribed(event.kind)
--- a/pebblepass/operator/schema.py
+++ b/pebblepass/operator/schema.py
@@ -47,10 +47,10 @@
 
     keys_in_flight: Annotated[
         int, msgspec.Meta(ge=1, le=100_000, description="keys asked at a time, over all commands")
-    ] = 512
+    ] = 256
     keys_of_one: Annotated[
         int, msgspec.Meta(ge=1, le=1024, description="keys asked at a time for one command")
-    ] = 256
+    ] = 128
     commands: Annotated[
         int, msgspec.Meta(ge=1, le=10_000, description="commands under way; further ones are refused")
     ] = 256
--- a/pebblepass/rehearsal/count.py
+++ b/pebblepass/rehearsal/count.py
@@ -42,6 +42,8 @@
             (router.id, *key): Counter() for router in plan.routers for key in self.tries
         }
         """By router, namespace and class; `unseen` are those among the failed that no router ever read."""
+        self.seconds = max(1, -(-int(plan.scenario.length_s * 1000) // 1000))
+        """How many seconds are counted."""
         self.served_after: dict[int, float] = {}
         """Seconds from an ask to its answer, by the ask's number."""
 
@@ -79,8 +81,7 @@
 
     def service(self) -> dict[str, Any]:
         """The service of the whole run, of its parts, and the weighted figure; each from 0 to 1."""
-        scenario = self._plan.scenario
-        seconds = max(1, -(-int(scenario.length_s * 1000) // 1000))
+        scenario, seconds = self._plan.scenario, self.seconds
         by_second = [_Sum([], []) for _ in range(seconds)]
         namespace_seconds = {n.name: [_Sum([], []) for _ in range(seconds)] for n in scenario.namespaces}
         classes = {cls.name: _Sum([], []) for cls in scenario.classes}
@@ -119,6 +120,7 @@
             "worst_10_s_from": worst_at,
             "classes": {name: part.service for name, part in classes.items()},
             "namespaces": {name: part.service for name, part in namespaces.items()},
+            "seconds": [[fsum(part.asked), fsum(part.earned)] for part in by_second],
             "by_second": {
                 name: [part.service if part.asked else None for part in parts]
                 for name, parts in namespace_seconds.items()
--- a/pebblepass/rehearsal/front.py
+++ b/pebblepass/rehearsal/front.py
@@ -6,6 +6,7 @@
 
 from pebblepass.rehearsal.count import Count
 from pebblepass.rehearsal.plan import Ask, Plan
+from pebblepass.rehearsal.recovery import Recorder
 from pebblepass.rehearsal.referee import ANSWER_GRACE_S, TIME_SLACK_S, Referee
 from pebblepass.standins.clients import Answer, ClientPool, Request
 from pebblepass.wire.address import Address
@@ -19,9 +20,16 @@
     """Deals tries out to routers; of one that has died it knows only some seconds later."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, plan: Plan, count: Count, referee: Referee, slack: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        plan: Plan,
+        count: Count,
+        referee: Referee,
+        recorder: Recorder,
+        slack: float,
     ) -> None:
         self.loop, self.plan, self.count, self.referee = loop, plan, count, referee
+        self.recorder = recorder
         self.slack = slack
         """How much longer clients listen than the rules say, on a clock that others share."""
         self.classes = {cls.name: cls for cls in plan.scenario.classes}
@@ -87,6 +95,8 @@
         self.begun = front.loop.time()
         self.deadline = self.begun + self.cls.deadline_ms / 1000
         self.tries = 0
+        self.before = ""
+        """What the try before came to; empty: there was none."""
         self.over = False
 
     def attempt(self) -> None:
@@ -134,6 +144,7 @@
         self._given_up = self._was_taken = self._leaving = False
         front.open += 1
         front.count.tried(ask, self._router)
+        front.recorder.asked(self._id, ask, asking.before)
         self._timers = [
             front.loop.call_later(patience, self._give_up),
             front.loop.call_later(patience + LISTEN_S + front.slack, self._stop_listening),
@@ -170,6 +181,7 @@
     def _give_up(self) -> None:
         """The client's patience is over: it goes on with its next try, and only listens for this one."""
         self._given_up = True
+        self._asking.before = "time"
         self._asking.came_to_nothing(harmless=False)
 
     def _stop_listening(self) -> None:
@@ -213,6 +225,7 @@
                 self._asking.served()
                 return
         if not self._given_up:
+            self._asking.before = answer.value
             self._asking.came_to_nothing(answer in (Answer.REFUSED, Answer.UNREACHED), back_ms)
 
     def _may_close(self, answer: Answer) -> bool:
@@ -235,8 +248,9 @@
         self._begun = front.loop.time()
         self._was_taken = False
         front.open += 1
-        for ask in asks:
+        for ask, request in zip(asks, self._ids, strict=True):
             front.count.tried(ask, self._router)
+            front.recorder.asked(request, ask, "")
         patience = self._cls.deadline_ms / 1000
         self._timer = front.loop.call_later(patience + LISTEN_S + front.slack, self._stop_listening)
         self._send()
--- a/pebblepass/rehearsal/page.py
+++ b/pebblepass/rehearsal/page.py
@@ -21,6 +21,27 @@
 """
 
 
+def recovery_rows(told: dict[str, Any]) -> list[tuple[str, str]]:
+    """The figures of a report's recovery, as rows."""
+    used = told["store_used"]
+    rows = [
+        (
+            "store used while reads are refused for the limit",
+            f"{used:.2f} over {told['seconds_short']} s" if used is not None else "no such second",
+        ),
+        ("fetches wasted", f"{told['fetches_wasted']:.3f}"),
+    ]
+    if "bound_service" in told:
+        back = told["time_to_recover"]
+        rows += [
+            ("seconds to recover", f"{back:g}" if back is not None else "not within the run"),
+            ("service of the calm twin", f"{told['calm_service']:.3f}"),
+            ("service of the clairvoyant bound", f"{told['bound_service']:.3f}"),
+            ("share of the bound", f"{told['share_of_bound']:.3f}"),
+        ]
+    return rows
+
+
 def as_page(report: dict[str, Any]) -> str:
     """The whole page."""
     scale, service, series = report["scale"], report["service"], report["series"]
@@ -53,6 +74,7 @@
         _plot(seconds, {"open": series["open"]}, None, marks),
         "<h2>Load of each node</h2>",
         _heat(seconds, series["load"]),
+        *_recovery(report, marks),
         "<h2>What happened</h2>",
         _table(("at", "what"), [(f"{at:g} s", what) for at, what in report["events"]]),
         "<h2>Every try</h2>",
@@ -77,6 +99,31 @@
     return f"<!doctype html><html lang='en'><head>{head}</head><body>{''.join(parts)}</body></html>\n"
 
 
+def _recovery(report: dict[str, Any], marks: list[tuple[float, str]]) -> list[str]:
+    """Where service went, and when it was back."""
+    told = report["recovery"]
+    seconds = list(range(len(told["held"])))
+    parts = ["<h2>Recovery</h2>", _table(("recovery", ""), recovery_rows(told))]
+    if beside := told.get("service_by_second"):
+        whole = range(len(beside["this"]))
+        parts += ["<h3>Service, of five seconds each</h3>", _plot(whole, beside, 1.0, marks)]
+    plots: list[tuple[str, dict[str, list[float | None]], float | None]] = [
+        ("Refused a second, by reason", told["refused"], None),
+        ("Copies held of the working set", {"held": told["held"]}, 1.0),
+        ("Fetches a second, by what they were good for", told["fetches"], None),
+        (
+            "What the limits allow a second, and what the store can serve",
+            {"limit": told["limit"], "store": [told["capacity"]] * len(seconds)},
+            2 * told["capacity"],
+        ),
+        ("Tries a second", told["tries"], None),
+    ]
+    for title, lines, top in plots:
+        if lines:
+            parts += [f"<h3>{title}</h3>", _plot(seconds, lines, top, marks)]
+    return parts
+
+
 def _table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     heads = "".join(f"<th>{escape(cell)}</th>" for cell in head)
     body = "".join("<tr>" + "".join(f"<td>{escape(cell)}</td>" for cell in row) + "</tr>" for row in rows)
--- a/pebblepass/rehearsal/routers.py
+++ b/pebblepass/rehearsal/routers.py
@@ -9,6 +9,7 @@
 import signal
 import subprocess
 import tomllib
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -22,6 +23,7 @@
 from pebblepass.figures.service import FiguresService
 from pebblepass.operator import FiguresSection, ManyKeysSection
 from pebblepass.rehearsal.clock import VirtualLoop
+from pebblepass.rehearsal.recovery import RouterState
 from pebblepass.wire.address import Address
 
 WATCH_S = 0.25
@@ -56,6 +58,9 @@
     def stall(self, seconds: float) -> None:
         """Let it do nothing for so long, as where the machine gives its core to others."""
 
+    def state(self) -> RouterState | None:
+        """Its refusals so far and its limits now; None where it can't be looked into."""
+
     def crash(self) -> str:
         """Why it has ended by itself; empty while it has not."""
 
@@ -126,6 +131,14 @@
         if isinstance(self._loop, VirtualLoop):
             self._loop.stall(seconds)
 
+    def state(self) -> RouterState | None:
+        """Over all its starts; the limits of one that is down are none."""
+        refused = Counter[str]()
+        for figures in self._figures:
+            for account in figures.ledger.accounts.values():
+                refused.update(account.refused)
+        return RouterState(refused, self._daemon.host.limits() if self._daemon is not None else {})
+
     def crash(self) -> str:
         """A breach of its ledger; any other fault in this process is an exception that is logged."""
         breaches = [breach for figures in self._figures for breach in figures.ledger.breaches]
@@ -249,6 +262,10 @@
             self._process.send_signal(signal.SIGSTOP)
             asyncio.get_running_loop().call_later(seconds, self._process.send_signal, signal.SIGCONT)
 
+    def state(self) -> RouterState | None:
+        """A process tells its balance at its end only."""
+        return None
+
     def crash(self) -> str:
         """Why it has ended by itself."""
         return self._crash
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -17,6 +17,7 @@
 from pebblepass.rehearsal.count import Count
 from pebblepass.rehearsal.front import Front
 from pebblepass.rehearsal.plan import Happening, Plan, Streams
+from pebblepass.rehearsal.recovery import Recorder
 from pebblepass.rehearsal.referee import Referee
 from pebblepass.rehearsal.report import Series, build_report
 from pebblepass.rehearsal.routers import InProcessRouter, ProcessRouter, RouterPort
@@ -59,8 +60,9 @@
         self.referee = Referee(stage.slack)
         self.count = Count(plan)
         listening = 0.0 if stage.slack == VIRTUAL_SLACK_S else stage.slack
-        self.front = Front(self._loop, plan, self.count, self.referee, listening)
-        self.world = World(self._loop, plan, self.referee, stage.unix_ns, stage.silence)
+        self.recorder = Recorder(plan)
+        self.front = Front(self._loop, plan, self.count, self.referee, self.recorder, listening)
+        self.world = World(self._loop, plan, self.referee, stage.unix_ns, stage.silence, self.recorder)
         self.routers = [stage.router(place) for place in range(len(plan.routers))]
         self.series = Series(list(self.world.nodes))
         self.events: list[tuple[float, str]] = []
@@ -97,6 +99,7 @@
             self.referee,
             self.series,
             self.world,
+            recovery=self.recorder.report(self.count),
             clock=self._stage.clock,
             events=sorted([*self.plan.troubles, *self.events]),
             figures=figures,
@@ -121,6 +124,7 @@
         for place in range(len(plan.routers)):
             await self._wait_ready(place)
         self._begun = loop.time()
+        self.world.begin()
         handles = [
             loop.call_at(self._begun + happening.at, self._happen, happening) for happening in plan.happenings
         ]
@@ -159,6 +163,9 @@
         world = self.world
         busy = {name: node.serving.core.busy for name, node in world.nodes.items()}
         self.series.take(second, self.front.open, world.store.fetches, busy)
+        states = [state for router in self.routers if (state := router.state()) is not None]
+        copies = [node.copies for node in world.nodes.values()]
+        self.recorder.sample(copies, world.store.fetches, world.store.writes, states)
         self._progress(second, self.series)
         if second < self.plan.scenario.length_s:
             due = self._begun + round(second) + 1
--- a/pebblepass/rehearsal/terminal.py
+++ b/pebblepass/rehearsal/terminal.py
@@ -11,8 +11,11 @@
 from rich.live import Live
 from rich.table import Table
 
+from pebblepass.rehearsal.bound import clairvoyant
 from pebblepass.rehearsal.count import OUTCOMES
-from pebblepass.rehearsal.plan import Plan
+from pebblepass.rehearsal.page import recovery_rows
+from pebblepass.rehearsal.plan import Plan, make_plan
+from pebblepass.rehearsal.recovery import against, calm
 from pebblepass.rehearsal.report import Series, compare, verdict
 from pebblepass.rehearsal.runner import rehearse, rehearse_in_real_time
 
@@ -20,8 +23,11 @@
 WIDTH = 120  # where the output goes to a file
 
 
-def play(plan: Plan, deploy: Path | None) -> dict[str, Any]:
-    """Play a plan, in virtual time or, with a deploy file, in real time; shows the progress on a terminal."""
+def play(plan: Plan, deploy: Path | None, recovery: bool = False) -> dict[str, Any]:
+    """Play a plan, in virtual time or, with a deploy file, in real time; shows the progress on a terminal.
+
+    `recovery`: its calm twin is played too, in virtual time, and the clairvoyant bound reckoned.
+    """
     console = Console(stderr=True)
     with Live(console=console, auto_refresh=False, transient=True) as live:
         shown_at = 0.0
@@ -35,13 +41,19 @@
                 shown_at = now
                 live.update(_progress(plan, second, series), refresh=True)
 
+        def beside(report: dict[str, Any]) -> dict[str, Any]:
+            if recovery and not report["interrupted"]:
+                twin = rehearse(make_plan(calm(plan.scenario), plan.seed), progress)
+                report["recovery"] |= against(report, twin, plan, clairvoyant(plan))
+            return report
+
         if deploy is None:
-            return rehearse(plan, progress)
+            return beside(rehearse(plan, progress))
         with tempfile.TemporaryDirectory(prefix="rehearsal-") as folder:
             report = rehearse_in_real_time(plan, Path(folder), deploy, progress)
         if not report["interrupted"]:
             report["compared"] = compare(report, rehearse(plan, progress))
-        return report
+        return beside(report)
 
 
 def _progress(plan: Plan, second: float, series: Series) -> Table:
@@ -89,6 +101,10 @@
         f"repeats dropped: {report['effects']['repeats_dropped']}",
         soft_wrap=True,
     )
+    recovery = Table("recovery", "", box=None)
+    for name, value in recovery_rows(report["recovery"]):
+        recovery.add_row(name, value)
+    console.print(recovery)
     if routers := report["figures"]["compared"]:
         differ = len(report["figures"]["differences"])
         console.print(f"own figures of {', '.join(routers)} against the kit's count: {differ} differ")
--- a/pebblepass/rehearsal/world.py
+++ b/pebblepass/rehearsal/world.py
@@ -12,6 +12,7 @@
 from pebblepass.decisions.logic import SLOTS, SlotTable
 from pebblepass.decisions.settings import read_settings
 from pebblepass.rehearsal.plan import STORE_ID, Happening, NodeFacts, Plan, RouterFacts, Streams
+from pebblepass.rehearsal.recovery import Recorder
 from pebblepass.rehearsal.referee import Referee
 from pebblepass.standins.core import CoreFacts
 from pebblepass.standins.effects import Effects
@@ -91,8 +92,10 @@
         referee: Referee,
         unix_ns: Callable[[], int],
         silence: Silence,
+        recorder: Recorder,
     ) -> None:
-        self.loop, self.plan, self.referee = loop, plan, referee
+        self.loop, self.plan, self.referee, self._recorder = loop, plan, referee, recorder
+        self._begun = 0.0
         self._unix_ns, self._silence = unix_ns, silence
         scenario = plan.scenario
         streams = Streams(plan.seed)
@@ -158,8 +161,13 @@
             self.referee,
             self._missed,
             self._silence,
+            self._recorder.read,
         )
 
+    def begin(self) -> None:
+        """Clients begin to ask now."""
+        self._begun = self.loop.time()
+
     async def start(self) -> None:
         """Start everything, with the copies that the fleet would hold on a calm day."""
         for node in self.nodes.values():
@@ -215,8 +223,12 @@
         self._missed_at.setdefault(request, []).append(node)
 
     def _fetched(self, request: str, key: str) -> None:
-        for node in self._missed_at.pop(request, ()):
+        nodes = self._missed_at.pop(request, ())
+        elsewhere = any(key in node.copies for node in self.nodes.values() if node not in nodes)
+        for node in nodes:
             node.keep(key)
+        at = self.loop.time() - self._begun
+        self._recorder.fetched(at, request, key, [node.setup.id for node in nodes], elsewhere)
 
     def _written(self, key: str) -> None:
         for node in self.nodes.values():
--- a/pebblepass/standins/node.py
+++ b/pebblepass/standins/node.py
@@ -83,9 +83,11 @@
         witness: Witness,
         missed: Callable[[str, MirrorNode], None],
         silence: Silence = no_silence,
+        read: Callable[[str, str], None] = lambda _, __: None,
     ) -> None:
+        """`missed` is told a request and this node; `read` the key of a copy that was read, and the id."""
         self.loop, self.setup, self.rng = loop, setup, rng
-        self._effects, self._witness, self._missed = effects, witness, missed
+        self._effects, self._witness, self._missed, self._read = effects, witness, missed, read
         self.station = Station(loop, tuple(setup.delays), silence)
         self.trouble = Trouble()
         self.copies: OrderedDict[str, None] = OrderedDict()
@@ -195,6 +197,7 @@
             return
         if not asked.write and asked.key in self.copies:
             self.copies.move_to_end(asked.key)
+            self._read(asked.key, self.setup.id)
         value = make_value(self.rng, asked.key, asked.request, self.setup.id, self.setup.value_bytes)
         answer = b"*3\r\n%b$3\r\nhit\r\n%b" % (bulk(value), bulk(self.report()))
         self._answer(asked, answer, now)
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -384,7 +384,7 @@
     assert b"public" in out
     assert b"municipal" in out
     assert b"\x1b" not in out  # a plain table where there is no terminal
-    assert page.read_text().count("<svg") == 4
+    assert page.read_text().count("<svg") == 10
     assert "<script" not in page.read_text()
     assert "http" not in page.read_text()
     assert msgspec.json.decode(file.read_bytes())["service"]["weighted"] > 0.3
