Hold fetches to a window that follows their time, with a short line behind it

Change: the fetches out are held to a window: narrowed, from what is out, when one takes over 0.55 of the aim, widened by quick ones. Late answers cut no limit while the window can be narrowed; at one fetch they do, as before. Behind it reads stand in a short line, the key that most wait for first; who can't be in time, or finds the line full, is refused at once. Writes are untouched.

--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -37,6 +37,9 @@
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
 DEAD = -0.02
+QUICK_SHARE, SLOW_FETCH_SHARE = 0.4, 0.55  # of the aim: fetches that widen the window, and that narrow it
+NARROWED = 0.8
+LINE = 3  # reads in line for the origin, for each that may be out
 COMMAND_FETCHES = 4  # fetches that one command's keys may have out at the origin
 
 
@@ -243,6 +246,7 @@
     fetching = refetching = out = leads = waiting = done = False
     command: Command | None = None
     queued = False  # stands in its command's line for a fetch
+    lined = False  # stands in line for the origin
     twin: Node | None = None  # asked for a second copy while the first is out
 
     def __init__(
@@ -292,6 +296,8 @@
             math.inf,
             0,
         )
+        self._window, self._narrowed_at = math.inf, 0  # fetches that may be out, so that none waits long
+        self._line: list[Request] = []  # reads that wait for one of them to end
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
@@ -356,7 +362,9 @@
             self._actions.append(api.Subscribe())
             return
         request = self._requests.get(token)
-        if request and request.waiting and self._now >= request.deadline:
+        if request and request.lined:
+            self._give_up(request, Reason.LIMIT)
+        elif request and request.waiting and self._now >= request.deadline:
             self._give_up(request, Reason.TIME)
         elif request and request.waiting and request.write:
             self._fetch(request)
@@ -552,10 +560,53 @@
         if request.key is not None and not request.write:
             self._flights.setdefault(request.key, [])
             request.leads = True
+            if origins[0].load >= self._window and not request.refetching:
+                self._line_up(request)
+                return
+        self._begin_fetch(request, origins[0])
+
+    def _begin_fetch(self, request: Request, origin: Node) -> None:
         request.fetching = True
         if request.command is not None:
             request.command.fetching += 1
-        self._send(request, origins[0])
+        self._send(request, origin)
+
+    def _asked_for(self, request: Request) -> int:
+        return len(self._flights.get(request.key or "", ()))
+
+    def _line_up(self, request: Request) -> None:
+        """As many fetches are out as the origin answers well within the aim: wait for one, if there is time.
+
+        In a line that is full the key that fewest wait for makes room.
+        """
+        left = min(request.deadline - self._now, int(request.cls.aim * SLOW_FETCH_SHARE))
+        left -= int(self._fetches.usual)
+        if len(self._line) >= LINE * self._window:
+            least = min(self._line, key=self._asked_for)
+            if left > 0 and not self._asked_for(least):
+                self._give_up(least, Reason.LIMIT)
+            else:
+                left = 0
+        if left <= 0:
+            self._give_up(request, Reason.LIMIT)
+            return
+        request.lined = True
+        self._line.append(request)
+        self._wait(request, left)
+
+    def _next_in_line(self) -> None:
+        """Fetches go on while there is room: the key that most wait for first."""
+        while self._line:
+            best = max(self._line, key=self._asked_for)
+            origins = self._origins.rank(best.slot, self._now)
+            if origins and origins[0].load >= self._window:
+                return
+            self._line.remove(best)
+            best.lined = best.waiting = False
+            if origins and self._may_try(best):
+                self._begin_fetch(best, origins[0])
+            else:
+                self._give_up(best, self._spent(best) if origins else Reason.NO_SERVER)
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self._requests.get(event.request)
@@ -585,7 +636,7 @@
         late = event.latency > request.cls.aim
         stale = event.stale and not late
         if fetched:
-            self._judge_fetch(node, event, late)
+            self._judge_fetch(node, event, late, request.cls.aim)
         else:
             self._judge_cache(node, event, late)
         if not outcome.never_ran and request.ran is None:
@@ -613,8 +664,17 @@
                 self._actions.append(api.Fail(each.id, Reason.MISSING))
                 self._finish(each)
 
-    def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
+    def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool, aim: int) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
+        if event.latency > aim * SLOW_FETCH_SHARE:
+            # An answer that waited behind this router's own fetches is met by fewer of them, and no sign of
+            # trouble while there can be fewer.
+            late = late and (event.outcome is not Outcome.OK or self._window <= 1.0)
+            if self._now - self._narrowed_at >= self._fetches.usual:
+                self._narrowed_at = self._now
+                self._window = max(1.0, min(self._window, node.load + 1) * NARROWED)
+        elif event.latency <= aim * QUICK_SHARE and event.outcome is Outcome.OK:
+            self._window += 1 / self._window
         if event.outcome is Outcome.TIMEOUT:
             self._fetches.learn(event.latency)
         if event.outcome in (Outcome.OK, Outcome.MISS) and not late:
@@ -632,6 +692,7 @@
                 self._width = max(1.0, min(self._width, node.load + 1) * CUT)
                 for guard in self._guards.values():  # the origin is shared: it speaks for all
                     guard.cut(self._now)
+        self._next_in_line()
         while self._held and node.load < self._width:
             waiter = self._held.pop()
             if waiter.waiting:
@@ -682,6 +743,9 @@
 
     def _finish(self, request: Request, stored: bool = False) -> None:
         request.done, request.waiting = True, False
+        if request.lined:
+            request.lined = False
+            self._line.remove(request)
         if not request.out and request.twin is None:
             del self._requests[request.id]
             if request.command is not None:
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -318,7 +318,7 @@
         router.handle(ended(fetch, Outcome.RESET, 1), S + 200 * MS)
     once = guard.limit
     assert once < guard.cap
-    router._judge_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False)
+    router._judge_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False, S)
     assert guard.limit == once
 
 
--- /dev/null
+++ b/tests/decisions/test_window.py
@@ -0,0 +1,189 @@
+"""Fetches out at the origin: a window that follows their time, and the short line behind it."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from pebblepass.decisions import (
+    Action,
+    ClientGone,
+    ListKind,
+    Outcome,
+    Reason,
+    Refuse,
+    Router,
+    Send,
+    Server,
+    ServersChanged,
+    ServerState,
+    SetTimer,
+    TimerFired,
+)
+from pebblepass.decisions.logic import LINE, NARROWED, QUICK_SHARE, SLOW_FETCH_SHARE
+from tests.decisions.cases import (
+    MS,
+    ORIGIN,
+    S,
+    ended,
+    finals,
+    fleet,
+    only_send,
+    request,
+    sends,
+    settings,
+    started,
+)
+
+AIM = 300 * MS
+QUICK, SLOW = int(AIM * QUICK_SHARE), int(AIM * SLOW_FETCH_SHARE) + 1
+
+
+def miss(router: Router, name: str, now: int, key: str = "") -> list[Action]:
+    """A read that misses at its node; what follows."""
+    send = only_send(router.handle(request(name, now, key=key or name), now))
+    return router.handle(ended(send, Outcome.MISS, latency=2 * MS), now)
+
+
+def narrowed(window: float = 1.0) -> Router:
+    """A router whose window is that small, with quick fetches lately and none out."""
+    router = started(settings(), fleet(4))
+    router._window, router._fetches.usual = window, 50 * MS
+    return router
+
+
+def fetch(router: Router, name: str, now: int) -> Send:
+    return only_send(miss(router, name, now))
+
+
+def test_there_is_no_window_until_a_fetch_is_slow_and_then_it_is_what_is_out() -> None:
+    router = started(settings(), fleet(4))
+    out = [fetch(router, f"f{number}", S) for number in range(40)]
+    assert router._window == math.inf
+    router.handle(ended(out[0], Outcome.OK, 1, latency=SLOW), S + SLOW)
+    assert router._window == pytest.approx(40 * NARROWED)
+    # One round-trip's slow fetches are one sign.
+    router.handle(ended(out[1], Outcome.OK, 1, latency=SLOW), S + SLOW)
+    assert router._window == pytest.approx(40 * NARROWED)
+    before = router._window
+    router.handle(ended(out[2], Outcome.OK, 1, latency=QUICK), S + SLOW)
+    assert router._window == pytest.approx(before + 1 / before)
+
+
+def test_fetches_that_waited_behind_each_other_cut_no_limit_while_there_can_be_fewer() -> None:
+    router = started(settings(), fleet(4))
+    limits, late = router.limits(), AIM + MS
+    for send in [fetch(router, f"f{number}", S) for number in range(6)]:
+        router.handle(ended(send, Outcome.OK, 1, latency=late), S + late)
+    assert router._window == pytest.approx(6 * NARROWED)
+    assert router.limits() == limits
+    # Of one that was out alone the origin itself is slow: that lateness counts.
+    router._window, now = 1.0, 2 * S
+    for number in range(2):
+        send = fetch(router, f"g{number}", now)
+        now += late
+        router.handle(ended(send, Outcome.OK, 1, latency=late), now)
+    assert all(router.limits()[name] < limit for name, limit in limits.items())
+
+
+def test_errors_cut_the_limits_whatever_the_window() -> None:
+    router = started(settings(), fleet(4))
+    limits = router.limits()
+    out = [fetch(router, f"f{number}", S) for number in range(12)]
+    for send in out:
+        router.handle(ended(send, Outcome.ERROR, 1, latency=5 * MS), S + 5 * MS)
+    assert all(router.limits()[name] < limit for name, limit in limits.items())
+
+
+def test_reads_wait_in_line_and_the_key_that_most_wait_for_goes_first() -> None:
+    router = narrowed()
+    out = fetch(router, "out", S)
+    for name in ("one", "two"):
+        assert isinstance(miss(router, name, S)[0], SetTimer)
+    assert isinstance(miss(router, "two again", S, key="two")[0], SetTimer)  # joins the flight of its key
+    # Neither quick nor slow: the window stays.
+    (went,) = sends(router.handle(ended(out, Outcome.OK, 1, latency=QUICK + MS), S + 20 * MS))
+    assert (went.request, went.server) == ("two", ORIGIN.id)
+    # Its fetch serves the other that waits too, by the cache; and then it is the first one's turn.
+    told = sends(router.handle(ended(went, Outcome.OK, 1, latency=QUICK + MS), S + 40 * MS))
+    assert {send.request for send in told} == {"two again", "one"}
+    assert not router._line
+
+
+def test_a_line_that_is_full_refuses_at_once_whom_fewest_wait_for() -> None:
+    router = narrowed()
+    fetch(router, "out", S)
+    names = [f"l{number}" for number in range(LINE)]
+    for name in names:
+        miss(router, name, S)
+    for number in range(2):
+        miss(router, f"more {number}", S, key=names[0])
+    (refused,) = finals(miss(router, "late", S))
+    assert isinstance(refused, Refuse)
+    assert (refused.request, refused.reason) == (names[1], Reason.LIMIT)
+    assert [waiting.id for waiting in router._line] == [names[0], *names[2:], "late"]
+
+
+def test_a_read_that_can_no_more_be_in_time_is_refused() -> None:
+    router = narrowed()
+    fetch(router, "out", S)
+    (timer,) = miss(router, "waits", S)
+    assert isinstance(timer, SetTimer)
+    assert timer.delay == int(AIM * SLOW_FETCH_SHARE) - 50 * MS  # a usual fetch still fits behind it
+    (refused,) = finals(router.handle(TimerFired(timer.token), S + timer.delay))
+    assert isinstance(refused, Refuse)
+    assert refused.reason is Reason.LIMIT
+    router._fetches.usual = float(AIM)
+    (at_once,) = finals(miss(router, "hopeless", S))
+    assert at_once.request == "hopeless"
+    assert not router._line
+
+
+def test_a_client_that_leaves_leaves_the_line_and_another_takes_its_flight_over() -> None:
+    router = narrowed()
+    out = fetch(router, "out", S)
+    miss(router, "gone", S, key="k")
+    miss(router, "stays", S, key="k")
+    router.handle(ClientGone("gone"), S + MS)
+    assert [waiting.id for waiting in router._line] == ["stays"]
+    (went,) = sends(router.handle(ended(out, Outcome.OK, 1), S + 20 * MS))
+    assert went.request == "stays"
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_nothing_in_line_goes_to_an_origin_that_drains_or_is_gone(state: ServerState) -> None:
+    router = narrowed()
+    out = fetch(router, "out", S)
+    miss(router, "waits", S)
+    leaves = Server(ORIGIN.id, kind="origin", state=state)
+    router.handle(ServersChanged(ListKind.DELTA, (leaves,)), S + MS)
+    told = router.handle(ended(out, Outcome.OK, 1), S + 20 * MS)
+    assert not sends(told)
+    assert [action.request for action in finals(told)] == ["waits"]
+
+
+def test_writes_wait_in_no_line_of_reads() -> None:
+    router = narrowed()
+    fetch(router, "out", S)
+    miss(router, "waits", S)
+    assert only_send(router.handle(request("w", S, cls="edit"), S)).server == ORIGIN.id
+
+
+def test_everything_is_forgotten_at_the_end() -> None:
+    router = narrowed(2.0)
+    out = [fetch(router, f"f{number}", S) for number in range(2)]
+    for number in range(20):
+        miss(router, f"l{number}", S + number * MS, key=f"k{number % 3}")
+    now = S + 50 * MS
+    while out:
+        following = router.handle(ended(out.pop(), Outcome.OK, 1), now)
+        for send in sends(following):
+            if send.server == ORIGIN.id:
+                out.append(send)
+            else:
+                router.handle(ended(send, Outcome.OK, 1), now)
+        now += 10 * MS
+    assert not router._line
+    assert not router._flights
+    assert not router._requests
