--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -33,7 +33,11 @@
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
 PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
-REGAIN = 60 * NS_PER_S
+# How long what an attempt told of its server holds. A queue that made one answer late is gone within two
+# seconds, by whoever asked; a server that turns away or is silent stays so for longer; a dead one is news
+# for discovery. By the clock and not by this router's own answers: one that asks a server once in three
+# seconds would go on refusing for half a minute what forty like it could have had served.
+REGAIN_LATE, REGAIN_SILENT, REGAIN_DEAD = 2 * NS_PER_S, 8 * NS_PER_S, 60 * NS_PER_S
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
 DEAD = -0.02
@@ -66,14 +70,14 @@
         self.down = False
         self.unheard = 0
         self.pace = Pace()
-        self._chance, self._judged_at = 1.0, 0
+        self._chance, self._judged_at, self._regain = 1.0, 0, REGAIN_LATE
 
     def chance(self, now: int) -> float:
         """Return the chance to be sent to; it is regained by the time since it was judged.
 
         Danger: by the clock alone a machine that has been up for a minute would hold nothing against anyone.
         """
-        return min(1.0, self._chance + (now - self._judged_at) / REGAIN) if self._chance < 1.0 else 1.0
+        return min(1.0, self._chance + (now - self._judged_at) / self._regain) if self._chance < 1.0 else 1.0
 
     @property
     def sound(self) -> bool:
@@ -85,9 +89,11 @@
         chance = self.chance(now)
         self.unheard = self.unheard + 1 if outcome in (Outcome.TIMEOUT, Outcome.RESET) else 0
         if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and self.unheard > 1):
-            chance, self.down = DEAD, True
+            chance, self.down, self._regain = DEAD, True, REGAIN_DEAD
         elif late or outcome is Outcome.FULL or self.unheard > 1:
+            answered = outcome in (Outcome.OK, Outcome.MISS)
             chance = max(chance * PASS_CUT, PASS_FLOOR)
+            self._regain = REGAIN_LATE if answered else REGAIN_SILENT
         elif outcome in (Outcome.OK, Outcome.MISS):
             chance, self.down = min(1.0, chance + PASS_RISE), False
         self._chance, self._judged_at = chance, now
--- /dev/null
+++ b/tests/decisions/test_health.py
@@ -0,0 +1,58 @@
+"""What is held against a server, by a router that asks it often and by one that hardly does."""
+
+from __future__ import annotations
+
+import pytest
+
+from pebblepass.decisions import Outcome, Router
+from tests.decisions.cases import MS, S, ended, finals, fleet, only_send, request, settings, started
+
+LATE = 400 * MS
+QUEUE_GONE, SOUND_AGAIN = 2 * S, 8 * S
+TRIES = 200
+
+
+def one_server(routers: int) -> Router:
+    return started(settings(routers=routers, second_copies=False), fleet(1), origin=False)
+
+
+def refused(router: Router, now: int, tries: int = TRIES) -> int:
+    """How many of so many reads at one moment are refused; none of them has an end that teaches anything."""
+    count = 0
+    for i in range(tries):
+        count += bool(finals(router.handle(request(f"{now}.{i}", now, deadline=now + S), now)))
+    return count
+
+
+@pytest.mark.parametrize("routers", [4, 100])
+def test_a_late_answer_is_forgotten_when_its_queue_is_gone_however_few_requests_come(routers: int) -> None:
+    router = one_server(routers)
+    send = only_send(router.handle(request("first"), 0))
+    router.handle(ended(send, Outcome.OK, latency=LATE), LATE)
+    assert refused(router, LATE) > TRIES / 2
+    assert refused(router, LATE + QUEUE_GONE) == 0
+
+
+@pytest.mark.parametrize("routers", [4, 100])
+def test_a_silent_server_is_held_off_for_longer_than_a_slow_one_but_not_for_good(routers: int) -> None:
+    router = one_server(routers)
+    for send in [only_send(router.handle(request(f"first{i}"), 0)) for i in range(2)]:
+        router.handle(ended(send, Outcome.TIMEOUT, latency=S), S)
+    assert refused(router, S + QUEUE_GONE) > TRIES / 2
+    assert refused(router, S + SOUND_AGAIN) == 0
+
+
+def test_a_router_with_a_request_in_three_seconds_loses_no_more_than_one_to_a_late_answer() -> None:
+    lost = 0
+    for seed in range(40):
+        router = started(settings(routers=100), fleet(1), origin=False, seed=seed)
+        send = only_send(router.handle(request("first"), 0))
+        router.handle(ended(send, Outcome.OK, latency=LATE), LATE)
+        for i in range(1, 11):
+            now = i * 3 * S
+            actions = router.handle(request(f"r{i}", now, deadline=now + S), now)
+            if finals(actions):
+                lost += 1
+            else:
+                router.handle(ended(only_send(actions), Outcome.OK), now + 20 * MS)
+    assert lost == 0  # 265 of these 400, where only good answers of its own bring the chance back
