--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -90,4 +90,7 @@
         """An error line; a load report may stand last in it."""
         last = text.rpartition(b" ")[2]
         report = last if b"=" in last else None
-        self.finish(Outcome.FULL if text.startswith(b"BUSY") else Outcome.ERROR, Answer(report=report))
+        if text.startswith(b"BUSY"):
+            self.turned_away(Answer(report=report))
+        else:
+            self.finish(Outcome.ERROR, Answer(report=report))
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -735,7 +735,7 @@
             if outcome not in (Outcome.OK, Outcome.MISS, Outcome.CONNECT_FAILED):
                 self._suspect(left if part.as_one else left[:1])
             head = left[0].made()
-            head.stale = self.stale
+            head.stale, head.crowded = self.stale, self.crowded
             head.end(outcome, answer)
             for key in left[1:]:
                 attempt = key.made()
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -15,6 +15,7 @@
 PER_SERVER = 16
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
+NO_ROOM_S = 2.0  # after a server has turned a further connection away: others' idle ones close in seconds
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
 log = logging.getLogger("pebblepass")
@@ -53,7 +54,10 @@
     array_expected = False
     """The answers come within one array, whose head is still to come."""
     stale = False
-    """Ended with a connection that had served before and broke without a byte of an answer."""
+    """Ended with a connection that had served before and broke without a byte of an answer, or with one that
+    had no place beside this router's others."""
+    crowded = False
+    """Turned away with a new connection, the only one to this server."""
 
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
@@ -176,6 +180,16 @@
         self.look_behind()
         self.server.pool.released(self)
 
+    def turned_away(self, answer: Answer) -> None:
+        """Take a refusal. A first one that tells nothing of the load is one for want of a place."""
+        exchange = self.exchange
+        if exchange is not None and answer.report is None and not self._kept:
+            # Danger: kept, it would be turned away again and again, and holds a place that it does not have.
+            self.retired = True
+            exchange.crowded = not self.server.pool.no_room(self)
+            exchange.stale = not exchange.crowded
+        self.finish(Outcome.FULL, answer)
+
     def spoil(self, reason: str) -> None:
         """End the exchange for an answer that can't be read, and the connection with it."""
         log.warning("%s: %s", self.server.id, reason)
@@ -226,6 +240,7 @@
         self.connections: dict[Connection, None] = {}
         self.dials: dict[asyncio.Task[None], None] = {}
         self.waiting: deque[Exchange] = deque()
+        self.most, self.most_until = PER_SERVER, 0.0  # connections, since it turned one away
 
     @property
     def held(self) -> int:
@@ -311,6 +326,17 @@
         self._dial_for(server)
         self._forget(server)
 
+    def no_room(self, connection: Connection) -> bool:
+        """Its server takes no more connections; whether others of this router must do for a while.
+
+        That bounds the dials of a fleet of routers at a full server: each of them has what it has.
+        """
+        server = connection.server
+        others = sum(held is not connection and held.usable for held in server.connections)
+        if others:
+            server.most, server.most_until = others, self._loop.time() + NO_ROOM_S
+        return others > 0
+
     def close(self) -> None:
         """Break all connections; nothing is sent from here on, whatever the ends of attempts lead to."""
         self._closed = True
@@ -326,7 +352,8 @@
             server.waiting.popleft()
         if self._closed:
             return
-        while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
+        most = server.most if self._loop.time() < server.most_until else PER_SERVER
+        while len(server.waiting) > len(server.dials) and server.held < most:
             if self._held >= self._limit and not self._evict():
                 return
             self._held += 1
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -236,7 +236,10 @@
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
     stale: bool = False
-    """A kept connection broke without a byte of an answer: this tells of its age, not of the server."""
+    """This tells of the connection and not of the server: a kept one broke without a byte of an answer, or a
+    further one had no place."""
+    crowded: bool = False
+    """Turned away because the server takes no more connections, and this router has none to it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -41,6 +41,7 @@
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
 DEAD = -0.02
+NO_ROOM, NO_ROOM_DOUBLED = NS_PER_S, 4  # the first pause after a server had no place for a connection
 QUICK_SHARE, SLOW_FETCH_SHARE = 0.4, 0.55  # of the aim: fetches that widen the window, and that narrow it
 NARROWED = 0.8
 LINE = 3  # reads in line for the origin, for each that may be out
@@ -71,6 +72,7 @@
         self.unheard = 0
         self.pace = Pace()
         self._chance, self._judged_at, self._regain = 1.0, 0, REGAIN_LATE
+        self._crowded, self._room_at = 0, 0
 
     def chance(self, now: int) -> float:
         """Return the chance to be sent to; it is regained by the time since it was judged.
@@ -82,7 +84,19 @@
     @property
     def sound(self) -> bool:
         """Whether nothing is held against it."""
-        return self._chance >= 1.0
+        return self._chance >= 1.0 and not self._crowded
+
+    def has_room(self, now: int) -> bool:
+        """Whether it may be asked for a connection again."""
+        return now >= self._room_at
+
+    def crowded(self, now: int, rng: random.Random) -> None:
+        """It takes no more connections: ask elsewhere, and here again after a growing pause.
+
+        The pauses bound the dials of many routers at one full server; the draws keep them apart.
+        """
+        self._room_at = now + int(rng.uniform(0.5, 1.0) * (NO_ROOM << self._crowded))
+        self._crowded = min(self._crowded + 1, NO_ROOM_DOUBLED)
 
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
@@ -96,6 +110,7 @@
             self._regain = REGAIN_LATE if answered else REGAIN_SILENT
         elif outcome in (Outcome.OK, Outcome.MISS):
             chance, self.down = min(1.0, chance + PASS_RISE), False
+            self._crowded = self._room_at = 0
         self._chance, self._judged_at = chance, now
 
 
@@ -468,7 +483,7 @@
             self._give_up(request, self._spent(request))
             return
         for node in self._candidates(request):
-            if node in request.failed or not request.may_send(node, self._now):
+            if node in request.failed or not (node.has_room(self._now) and request.may_send(node, self._now)):
                 continue
             chance = node.chance(self._now)
             # Tenants over their portion are shed first, those well within it last.
@@ -629,7 +644,9 @@
 
     def _judge_cache(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
         # A kept connection that breaks says nothing of its server: nobody is judged by it, or asked less.
-        if late or not event.stale:
+        if event.crowded:
+            node.crowded(self._now, self._rng)
+        elif late or not event.stale:
             node.judge(event.outcome, late, self._now)
             if event.outcome in (Outcome.OK, Outcome.MISS):
                 node.pace.learn(event.latency)
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -211,3 +211,48 @@
             assert (await exchange.came())[0] is outcome
 
     with_pool(test)
+
+
+def test_server_without_a_place_for_a_connection_is_told_apart_and_that_connection_closed() -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda _: b"-BUSY\r\n"
+        for n in range(2):
+            exchange = stand.submit(b"a%d" % n)
+            assert await exchange.came() == (Outcome.FULL, None)
+            assert exchange.crowded
+            assert stand.accepted == n + 1  # kept, the first would be turned away again
+        stand.answer = hit
+        assert (await stand.ask(b"b"))[0] is Outcome.OK
+        stand.answer = lambda _: b"-BUSY\r\n"
+        exchange = stand.submit(b"c")
+        assert (await exchange.came())[0] is Outcome.FULL
+        assert not exchange.crowded  # it has a place: this is its queue
+
+    with_pool(test)
+
+
+def test_refusal_with_a_load_report_tells_of_the_load() -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda _: b"-BUSY queue=9,latency_ms=40\r\n"
+        exchange = stand.submit(b"a")
+        assert (await exchange.came())[0] is Outcome.FULL
+        assert not exchange.crowded
+
+    with_pool(test)
+
+
+def test_further_connection_without_a_place_leaves_it_to_those_that_have_one() -> None:
+    async def test(stand: Stand) -> None:
+        stand.answer = lambda name: b"" if name == b"slow" else b"-BUSY\r\n"
+        slow = stand.submit(b"slow")
+        turned_away = stand.submit(b"a")
+        assert (await turned_away.came())[0] is Outcome.FULL
+        assert (turned_away.crowded, turned_away.stale) == (False, True)
+        stand.answer = hit
+        waiting = stand.submit(b"b")
+        await asyncio.sleep(0)
+        assert (stand.accepted, waiting.end_came.done()) == (2, False)  # no further dial
+        slow.give_up(Outcome.TIMEOUT)
+        assert (await waiting.came())[0] is Outcome.OK  # it does not wait for good
+
+    with_pool(test)
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pebblepass.decisions import Outcome, Router
+from pebblepass.decisions import Outcome, Router, Send
 from tests.decisions.cases import MS, S, ended, finals, fleet, only_send, request, settings, started
 
 LATE = 400 * MS
@@ -56,3 +56,55 @@
             else:
                 router.handle(ended(only_send(actions), Outcome.OK), now + 20 * MS)
     assert lost == 0  # 265 of these 400, where only good answers of its own bring the chance back
+
+
+def turned_away(router: Router, send: Send, now: int) -> Send:
+    """That server has no place for a connection: where the request goes next."""
+    event = ended(send, Outcome.FULL, latency=10 * MS)
+    event.crowded = True
+    return only_send(router.handle(event, now))
+
+
+def keys_at(home: str, count: int) -> list[str]:
+    """Keys that this server of five holds; each is asked once only, so that none is hot."""
+    found: list[str] = []
+    tried = 0
+    while len(found) < count:
+        key, tried = f"k{tried}", tried + 1
+        send = only_send(started(settings(), fleet(5)).handle(request("r", key=key), 0))
+        if send.server == home:
+            found.append(key)
+    return found
+
+
+def test_a_server_without_a_place_is_passed_over_for_a_while_and_nothing_is_refused() -> None:
+    home = fleet(5)[0].id
+    first, *others, second, third = keys_at(home, 20)
+    router = started(settings(), fleet(5))
+    other = turned_away(router, only_send(router.handle(request("first", key=first), 0)), 10 * MS)
+    assert other.server != home
+    router.handle(ended(other, Outcome.OK, attempt=1), 30 * MS)
+    for key in others:
+        send = only_send(router.handle(request(key, 100 * MS, key=key), 100 * MS))
+        assert send.server != home
+        router.handle(ended(send, Outcome.OK), 120 * MS)
+    again = only_send(router.handle(request("second", S, key=second), S + 10 * MS))
+    assert again.server == home
+    router.handle(ended(again, Outcome.OK), S + 20 * MS)
+    assert only_send(router.handle(request("third", S, key=third), S + 20 * MS)).server == home
+
+
+@pytest.mark.parametrize("routers", [4, 100])
+def test_a_full_server_is_not_hammered_by_the_sum_of_all_routers(routers: int) -> None:
+    span, asked, home = 60, 0, fleet(5)[0].id
+    keys = keys_at(home, span * 2)
+    for seed in range(routers):
+        router = started(settings(routers=routers), fleet(5), seed=seed)
+        for i, key in enumerate(keys):
+            now = i * S // 2
+            send = only_send(router.handle(request(key, now, key=key), now))
+            if full := send.server == home:
+                asked += 1
+                send = turned_away(router, send, now + MS)
+            router.handle(ended(send, Outcome.OK, attempt=int(full)), now + 20 * MS)
+    assert asked / routers <= span / 8 + 5  # one in 8 to 16 s after the first few; 120 without a pause
