--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -29,6 +29,7 @@
 WINDOW_MIN_S, WINDOW_MAX_S = 5.0, 20.0
 UNSTATED_LIMIT = 1000.0  # generous start for all routers together where no quota is stated
 CUT, RISE_S = 0.7, 15.0
+EASE_SHARE = 0.05  # declined of the calls that the origin had
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
@@ -482,6 +483,7 @@
         if not self._may_try(request):
             self._give_up(request, self._spent(request))
             return
+        shed = False
         for node in self._candidates(request):
             if node in request.failed or not (node.has_room(self._now) and request.may_send(node, self._now)):
                 continue
@@ -491,9 +493,23 @@
                 self._send(request, node)
                 return
             if not node.down:
-                self._give_up(request, Reason.SHED)
-                return
-        self._missed(request)
+                if shed or not self._store_at_ease(request):
+                    shed = True
+                    break
+                shed = True
+        if shed:
+            self._give_up(request, Reason.SHED)
+        else:
+            self._missed(request)
+
+    def _store_at_ease(self, request: Request) -> bool:
+        """Whether the origin answers well within the aim, and nobody is refused or waits for it."""
+        guard = request.guard
+        return (
+            guard.declined <= EASE_SHARE * guard.accepted(self._now)
+            and self._fetches.usual < request.cls.aim * QUICK_SHARE
+            and not self._line
+        )
 
     def _candidates(self, request: Request) -> Sequence[Node]:
         owners = math.ceil(request.share * len(self._caches.nodes) / HEAT_SHARE)
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from pebblepass.decisions import Outcome, Router, Send
-from tests.decisions.cases import MS, S, ended, finals, fleet, only_send, request, settings, started
+from pebblepass.decisions import Outcome, Router, Send, Tenant
+from tests.decisions.cases import MS, S, ended, finals, fleet, only_send, request, sends, settings, started
 
 LATE = 400 * MS
 QUEUE_GONE, SOUND_AGAIN = 2 * S, 8 * S
@@ -108,3 +108,41 @@
                 send = turned_away(router, send, now + MS)
             router.handle(ended(send, Outcome.OK, attempt=int(full)), now + 20 * MS)
     assert asked / routers <= span / 8 + 5  # one in 8 to 16 s after the first few; 120 without a pause
+
+
+def with_a_late_home(fetch_time: int, declined: bool = False) -> tuple[Router, list[str], str]:
+    """A router whose origin takes so long, and keys of a server that has just answered late."""
+    tenants = (Tenant("a", 1.0, 0.1 if declined else 600.0),)
+    router = started(settings(tenants=tenants), fleet(5))
+    home = fleet(5)[0].id
+    for i in range(40):  # spread over time: fetches are neither denied nor waited for
+        send = only_send(router.handle(request(f"m{i}", i * S, key=f"m{i}"), i * S))
+        for fetch in sends(router.handle(ended(send, Outcome.MISS), i * S + MS)):
+            router.handle(ended(fetch, Outcome.OK, attempt=1, latency=fetch_time), i * S + fetch_time)
+    first, *keys = keys_at(home, 60)
+    send = only_send(router.handle(request("first", 50 * S, key=first), 50 * S))
+    router.handle(ended(send, Outcome.OK, latency=LATE), 50 * S + LATE)
+    return router, keys, home
+
+
+def outcomes(router: Router, keys: list[str], home: str) -> tuple[int, int, int]:
+    """Of reads of these keys: how many go home, to another server, and are refused."""
+    now = 50 * S + LATE
+    went = [router.handle(request(key, now, key=key), now) for key in keys]
+    at_home = sum(1 for actions in went for send in sends(actions) if send.server == home)
+    refusals = sum(len(finals(actions)) for actions in went)
+    return at_home, len(keys) - at_home - refusals, refusals
+
+
+def test_what_one_server_sheds_goes_to_the_slots_next_while_the_origin_is_at_ease() -> None:
+    at_home, elsewhere, refusals = outcomes(*with_a_late_home(20 * MS))
+    assert refusals == 0
+    assert at_home > 0
+    assert elsewhere > at_home
+
+
+def test_what_is_shed_is_refused_while_the_origin_is_slow_or_declines() -> None:
+    for router, keys, home in (with_a_late_home(200 * MS), with_a_late_home(20 * MS, declined=True)):
+        _, elsewhere, refusals = outcomes(router, keys, home)
+        assert elsewhere == 0
+        assert refusals > len(keys) / 2
