--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -13,7 +13,7 @@
 from pebblepass.wire.address import Address
 
 PER_SERVER = 16
-IDLE_SHARE = 0.6
+IDLE_SHARE = 0.9  # of the time after which servers close idle connections; news of it may be under way
 SWEEP_S = 0.5
 NO_ROOM_S = 2.0  # after a server has turned a further connection away: others' idle ones close in seconds
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -12,10 +12,12 @@
 from pebblepass.daemon.origin import OriginConnection
 from pebblepass.daemon.upstream import PER_SERVER, Answer, Exchange, Pool
 from pebblepass.decisions import Outcome
+from pebblepass.rehearsal.clock import VirtualLoop
 from pebblepass.standins.ports import take_port
 from pebblepass.wire import http, resp
 from pebblepass.wire.address import Address
 from tests.sockets import MISS, PATIENCE_S, hit, http_answer
+from tests.virtual import played
 
 Answers = Callable[[bytes], bytes]
 
@@ -256,3 +258,20 @@
         assert (await waiting.came())[0] is Outcome.OK  # it does not wait for good
 
     with_pool(test)
+
+
+def test_idle_connection_is_used_again_until_shortly_before_its_server_may_close_it() -> None:
+    async def work(loop: VirtualLoop) -> None:
+        stand = Stand(Pool(loop, 64, 5.0, 10.0), False)
+        server = await asyncio.start_server(stand.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        stand.pool.list_server("s1", (host, port), CacheConnection)
+        for pause, dials in ((0.0, 1), (8.5, 1), (9.7, 2)):  # of virtual time
+            await asyncio.sleep(pause)
+            assert (await stand.ask(b"a"))[0] is Outcome.OK
+            assert stand.accepted == dials
+        stand.pool.close()
+        server.close()
+        await server.wait_closed()
+
+    played(work)
