Test 4 and 40 fresh routers at one store, and a zone that is back cold, by their sum

Need: forty generous starts, forty floors and cold servers were suspects for the large fleet.

Checked: OneStore counts the fetches of all routers under one clock. A cold zone's servers stay under half of the multiple that fells them.

--- /dev/null
+++ b/tests/decisions/test_many_routers.py
@@ -0,0 +1,118 @@
+"""Many routers under one counted clock: what each does alone, counted over all of them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+import pytest
+
+from pebblepass.decisions import (
+    Action,
+    Event,
+    ListKind,
+    Outcome,
+    Router,
+    Send,
+    Server,
+    ServersChanged,
+    ServerState,
+    SetTimer,
+    Tenant,
+    TimerFired,
+)
+from tests.decisions.cases import MS, ORIGIN, S, ended, fleet, only_send, request, settings, started
+
+AIM = 300 * MS
+
+
+class OneStore:
+    """Routers whose servers hold nothing, and one store that serves its fetches one after another."""
+
+    def __init__(self, routers: int, a_second: int, work: int) -> None:
+        """`a_second`: reads over all routers, each of another key; `work`: ns of the store for one."""
+        config = settings(routers=routers, tenants=(Tenant("a", 1.0, float(a_second)),))
+        self.routers = [started(config, fleet(20), seed=seed) for seed in range(routers)]
+        self.interval, self.work = S // a_second, work
+        self.free_at = 0
+        self.order, self.due = count(), list[tuple[int, int, Router, Event]]()
+        self.attempts: dict[str, int] = {}
+        self.fetched: list[tuple[int, int, int]] = []
+        """Which router, when it asked, how long it took."""
+
+    def play(self, span: int) -> None:
+        """Play so many ns."""
+        rng = Random(5)
+        for i, now in enumerate(range(0, span, self.interval)):
+            self._until(now)
+            router = rng.choice(self.routers)
+            self._carry_out(router, router.handle(request(f"r{i}", now, key=f"k{i}"), now), now)
+        self._until(span)
+
+    def _until(self, now: int) -> None:
+        while self.due and self.due[0][0] <= now:
+            then, _, router, event = heappop(self.due)
+            self._carry_out(router, router.handle(event, then), then)
+
+    def _carry_out(self, router: Router, actions: list[Action], now: int) -> None:
+        for action in actions:
+            if isinstance(action, SetTimer):
+                self._later(now + action.delay, router, TimerFired(action.token))
+            elif isinstance(action, Send):
+                self._serve(router, action, now)
+
+    def _serve(self, router: Router, send: Send, now: int) -> None:
+        attempt = self.attempts[send.request] = self.attempts.get(send.request, -1) + 1
+        if send.server != ORIGIN.id:
+            self._later(now + 5 * MS, router, ended(send, Outcome.MISS, attempt, latency=5 * MS))
+            return
+        self.free_at = max(self.free_at, now) + self.work  # also for what nobody waits for any longer
+        took = self.free_at - now
+        self.fetched.append((self.routers.index(router), now, took))
+        limit = min(send.timeout or S, S)
+        outcome = Outcome.OK if took <= limit else Outcome.TIMEOUT
+        self._later(now + min(took, limit), router, ended(send, outcome, attempt, latency=min(took, limit)))
+
+    def _later(self, when: int, router: Router, event: Event) -> None:
+        heappush(self.due, (when, next(self.order), router, event))
+
+
+@pytest.mark.parametrize(("routers", "a_second"), [(4, 120), (40, 1200)])
+def test_fresh_routers_at_one_store_learn_in_time_and_none_is_starved(routers: int, a_second: int) -> None:
+    """Reads come at four times what the store can do; all copies are gone."""
+    site = OneStore(routers, a_second, work=S * 4 // a_second)
+    site.play(20 * S)
+    for begins, in_time in ((0, 0.3), (5, 0.9), (10, 0.9)):
+        asked = [f for f in site.fetched if begins * S <= f[1] < (begins + 5) * S]
+        assert sum(took <= AIM for _, _, took in asked) / len(asked) >= in_time
+        # Neither more than the store can do, nor much less: by forty floors or forty starts.
+        assert 0.9 <= len(asked) / 5 / (a_second / 4) <= 1.1
+    assert {router for router, when, _ in site.fetched if when >= 10 * S} == set(range(routers))
+
+
+@pytest.mark.parametrize("routers", [4, 40])
+def test_a_zone_that_is_back_cold_gets_its_part_by_the_sum_of_all_routers(routers: int) -> None:
+    cold_share, cold_time, back = 0.32, 9 * S, 100 * S
+    zones = [Server(f"10.0.0.{i}:80", kind="std", zone="abc"[i % 3]) for i in range(24)]
+    config = settings(routers=routers, cold_share=cold_share, cold_time=cold_time)
+    lost = tuple(replace(server, state=ServerState.GONE) for server in zones if server.zone == "a")
+    cold = tuple(replace(server, started=back) for server in zones if server.zone == "a")
+    group = [started(config, tuple(zones), seed=seed) for seed in range(routers)]
+    for router in group:
+        router.handle(ServersChanged(ListKind.DELTA, lost), back - 10 * S)
+        router.handle(ServersChanged(ListKind.DELTA, cold), back + S)
+    a_second, capacity = 1200, 1200 / len(zones)  # what a warm server has to do
+    sent: dict[str, list[int]] = {server.id: [] for server in zones}
+    for i in range(a_second * 10):
+        now, router = back + S + i * S // a_second, group[i % routers]
+        send = only_send(router.handle(request(f"r{i}", now, key=f"k{i}"), now))
+        sent[send.server].append(now)
+        router.handle(ended(send, Outcome.OK), now)
+    for server in cold:
+        for begins in range(back + S, back + 9 * S, S):
+            came = sum(begins <= when < begins + 2 * S for when in sent[server.id])
+            can = cold_share + (1 - cold_share) * (begins - back) / cold_time
+            assert came <= 2 * can * capacity * 2  # half of the multiple of four that fells it
+        assert len(sent[server.id]) > capacity  # and it is not left out
