--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -117,9 +117,9 @@
         gc.set_threshold(GC_THRESHOLD)
         try:
             runner.run(serve(config, operator, figures))
-        except OSError as error:
+        except (OSError, ConfigError) as error:
             print(f"pebblepass: {error}", file=sys.stderr)
-            return 1
+            return 2 if isinstance(error, ConfigError) else 1
     return 0
 
 
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
+import socket
 from collections import deque
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
@@ -373,14 +375,17 @@
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
-        self._draining = False
+        self.draining = False
+        """Whether nobody is accepted any longer."""
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
-    async def listen(self, address: Address) -> None:
-        """Accept clients at this address."""
-        self._listener = await self.loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=BACKLOG
-        )
+    async def listen(self, at: Address | socket.socket) -> None:
+        """Accept clients at this address, or on a socket that listens already."""
+        make = functools.partial(ClientConnection, self)
+        if isinstance(at, socket.socket):
+            self._listener = await self.loop.create_server(make, sock=at, backlog=BACKLOG)
+        else:
+            self._listener = await self.loop.create_server(make, *at, backlog=BACKLOG)
 
     def opened(self, connection: ClientConnection) -> None:
         """Take a new connection in, within the limit."""
@@ -410,6 +415,7 @@
 
     def stop_accepting(self) -> None:
         """Accept nobody any longer, and close what stands between requests."""
+        self.draining = True
         if self._listener is not None:
             self._listener.close()
             self._listener = None
--- a/pebblepass/daemon/config.py
+++ b/pebblepass/daemon/config.py
@@ -42,6 +42,10 @@
     memory: int
     """Bytes; over this the router is killed."""
     sockets: int
+    ops: Address | None
+    """Where operators call; None: nowhere."""
+    inherited: int | None
+    """The descriptor of the clients' listening socket, where the platform holds it."""
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
 
@@ -74,6 +78,14 @@
     return int(value)
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isdecimal() or len(text) > 9:
+        raise ValueError(f"LB_INHERITED_FD: expected the number of a descriptor, got {text!r}")
+    return int(text)
+
+
 def read_config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     """Read what the file holds; raises KeyError, WireError, ValueError or TypeError on what can't be used."""
     facts = typed("settings", told["settings"], dict)
@@ -96,5 +108,7 @@
         idle_close=_positive("ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS),
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
+        ops=parse_address("ops", ops) if (ops := environ.get("LB_OPS") or told.get("ops")) else None,
+        inherited=_descriptor(environ.get("LB_INHERITED_FD")),
         known=known,
     )
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
+from pebblepass.control.operations import ControlAddress, Told
 from pebblepass.daemon.clients import REFUSERS, ClientServer
 from pebblepass.daemon.config import Config, ConfigError, reload_discovery
+from pebblepass.daemon.inherited import adopt
 from pebblepass.daemon.router import RouterHost
 from pebblepass.daemon.upstream import Pool
 from pebblepass.decisions import ListKind
@@ -65,6 +67,7 @@
             self._discovery.generation = known.generation
             self.host.servers_changed(known)
         self._reloading: asyncio.Task[None] | None = None
+        self._control: ControlAddress | None = None
 
     def read_many(self, section: ManyKeysSection) -> None:
         """Take reads of many keys; before the start."""
@@ -76,12 +79,20 @@
 
     async def start(self) -> None:
         """Listen for clients and follow the list; raises OSError where the address can't be had."""
-        await self.clients.listen(self._config.listen)
+        if self._config.ops is not None:
+            self._control = ControlAddress(self._loop, Told(self.is_ready, self.host.figures))
+            await self._control.listen(self._config.ops)
+        held = self._config.inherited
+        await self.clients.listen(self._config.listen if held is None else adopt(held, self._config.listen))
         if not self._config.settings.must_subscribe:
             self._discovery.start()
         if self._config.known is not None:
             self._loop.call_later(READY_S, self._make_do)
 
+    def is_ready(self) -> bool:
+        """Whether it knows its servers, and takes requests still."""
+        return self.host.ready and not self.clients.draining
+
     def _take(self, listing: Listing) -> None:
         self.host.servers_changed(listing)
         self.host.ready = True
@@ -130,3 +141,5 @@
         self._pool.close()
         self.clients.close()
         self._discovery.close()
+        if self._control is not None:
+            self._control.close()
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -658,6 +658,7 @@
             for name, entry in zip(names, entries, strict=True):
                 host.ledger.serve(name, now, bulk_length(entry))
                 host.ledger.attempt(fields["c"], fields.get("t"), Outcome.OK.value, False)
+        host.counters.answered[read.command.fields["c"]] += len(names)
         read.gathering.end_all([key.number for key in taken], entries)
         reads.schedule(read)
         return part.answered == len(part.items)
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 from urllib.parse import quote
 
+from pebblepass.control.counters import Counters
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.clients import Reply
 from pebblepass.daemon.deadlines import Deadline, Deadlines
@@ -180,6 +181,10 @@
         left = max((self._request.deadline - self._host.now()) // NS_PER_MS, 1)
         return command.as_bytes(left)
 
+    def written(self) -> None:
+        """Count it as sent."""
+        self._host.counters.sends += 1
+
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value's header."""
         self._latency = self._elapsed(self._host.now())
@@ -246,12 +251,15 @@
                     ledger.fail(request.id, now, "cut off")
             request.accounted = True
             if outcome is Outcome.OK:
+                host.counters.answered[request.command.fields["c"]] += 1
                 reply.send(b"\r\n")
             else:
+                host.counters.errored[request.command.fields["c"]] += 1
                 reply.cut_off()
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.send(resp.bulk(value))
+            host.counters.answered[request.command.fields["c"]] += 1
             if ledger is not None:
                 ledger.serve(request.id, now, len(value), self._to_origin)
                 ledger = None  # told of both
@@ -318,6 +326,7 @@
         self._router = Router(settings, seed)
         self._pool, self._max_open = pool, max_open
         self.classes = {cls.name for cls in settings.classes}
+        self.counters = Counters(cls.name for cls in settings.classes)
         self._probe_timeout = min(cls.aim for cls in settings.classes)
         self._requests: dict[str, OpenRequest] = {}
         self._origins: set[str] = set()
@@ -359,6 +368,12 @@
         """The fetches a second that each namespace may have now."""
         return self._router.limits()
 
+    def figures(self) -> list[str]:
+        """The platform's figures, a line each."""
+        nodes = sum(kind != self.settings.origin_kind for kind in self.kinds.values())
+        avoided = len(self._router.avoided(self.now()))
+        return self.counters.lines(self.owed, nodes, avoided)
+
     # Clients
 
     def request_arrived(self, command: Command, reply: Reply) -> None:
@@ -422,6 +437,8 @@
     def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
         """Account for a request that the module never hears of."""
         cls = command.fields["c"]
+        if cls in self.classes:
+            (self.counters.deferred if refused else self.counters.errored)[cls] += 1
         if self.ledger is not None and cls in self.classes:
             tenant = command.fields.get("t")
             self.ledger.turn_away(cls, tenant, self.now(), command.size, PATH, refused, failed)
@@ -435,6 +452,8 @@
 
     def let_go(self, request: OpenRequest, failed: str = "") -> None:
         """Nothing is owed to this request any more: its client has left, or it has failed for this reason."""
+        if failed and not request.closed:
+            self.counters.errored[request.command.fields["c"]] += 1
         if self.ledger is not None and not request.accounted:
             if failed:
                 self.ledger.fail(request.id, self.now(), failed)
@@ -466,6 +485,7 @@
         request = self.request(request_id)
         if request is not None and not request.closed:
             request.closed = True
+            (self.counters.deferred if refused else self.counters.errored)[request.command.fields["c"]] += 1
             if self.ledger is not None:
                 if refused:
                     self.ledger.refuse(request_id, self.now(), refused)
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -67,6 +67,9 @@
     def ended(self, outcome: Outcome, answer: Answer) -> None:
         """Take the end."""
 
+    def written(self) -> None:
+        """Take note that the kernel has taken the request's last byte."""
+
     def value_started(self, length: int, source: ValueSource) -> None:
         """Take the start of a value over 64 KiB."""
 
@@ -130,6 +133,8 @@
     def resume_writing(self) -> None:
         """Note that it has."""
         self.unsent = False
+        if self.exchange is not None:
+            self.exchange.written()
 
     @property
     def usable(self) -> bool:
@@ -141,6 +146,8 @@
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.transport.write(exchange.request_bytes(self.server.address))
+        if not self.unsent:
+            exchange.written()
 
     def close(self) -> None:
         """Break the connection."""
--- /dev/null
+++ b/tests/daemon/test_operations.py
@@ -0,0 +1,165 @@
+"""What the real router tells operators, and the clients' socket that the platform holds."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+import pytest
+
+from pebblepass.standins.ports import take_port
+from tests.sockets import (
+    FACTS,
+    MISS,
+    PATIENCE_S,
+    ROOT,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    is_ready,
+    put,
+    routed,
+)
+
+
+def control(port: int, path: str) -> tuple[int, str]:
+    with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S) as connection:
+        connection.sendall(f"GET /control/{path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+        answer = b"".join(iter(lambda: connection.recv(65536), b""))
+    head, _, body = answer.decode().partition("\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+def figures(port: int) -> dict[str, int]:
+    status, body = control(port, "counters")
+    assert status == 200
+    lines = (line.removeprefix("svc.").partition("|")[0].partition(":") for line in body.split())
+    return {name: int(value) for name, _, value in lines}
+
+
+def test_the_figures_are_those_of_the_requests_that_were_played(tmp_path: Path) -> None:
+    slow = bytes(200 << 10)
+
+    def cache(_: socket.socket, words: list[bytes]) -> bytes | None:
+        match words[1]:
+            case b"long":
+                return hit(slow)
+            case b"bad":
+                return b"-ERR failed\r\n"
+            case b"open":
+                return None
+        return MISS
+
+    ops = take_port()
+    says = {b"/nobody": 404, b"/bad": 500}
+    store = Peer(lambda _, words: http_answer(says.get(words[1], 200), b"v"), True)
+    caches = {f"s{i}": Peer(cache) for i in range(3)}
+    with routed(tmp_path, caches, store, ops=ops) as router:
+        client = router.client()
+        assert control(ops, "ready")[0] == 200
+        before = figures(ops)
+        assert (before["cluster_size"], before["cluster_unhealthy"], before["current"]) == (3, 0, 0)
+        assert client.ask(get("q1", "long")) == slow  # one send
+        assert client.ask(get("q2", "k")) == b"v"  # a miss, and a fetch
+        assert client.ask(put("q3")) == b"v"  # one send, to the store
+        client.send(get("q4", "nobody"))
+        assert client.stream.readline() == b"$-1\r\n"
+        assert client.ask(get("q5", "bad")).startswith(b"-BUSY")
+        assert client.ask(get("q6", "k", d=0)).startswith(b"-BUSY")
+        told = figures(ops)
+        assert (told["answered.get"], told["answered.put"]) == (2, 1)
+        assert (told["deferred.get"], told["errored.get"]) == (2, 1)
+        sent = sum(len(peer.seen) for peer in (*caches.values(), store))
+        assert told["sends"] == sent
+        client.send(get("q7", "open"))
+        eventually(lambda: figures(ops)["current"] == 1, "the open request")
+        client.close()
+        eventually(lambda: figures(ops)["current"] == 0, "the end of the open request")
+        for peer in caches.values():
+            peer.close()
+
+
+def test_a_router_that_ends_is_not_ready(tmp_path: Path) -> None:
+    held = Peer(lambda _, words: None)
+    ops = take_port()
+    with routed(tmp_path, {"s1": held}, ops=ops) as router:
+        client = router.client()
+        client.send(get("q1", d=1500))
+        eventually(lambda: held.seen, "the request at its server")
+        router.terminate()
+        eventually(lambda: control(ops, "ready")[0] == 503, "the word that it is not ready")
+        assert client.answer().startswith((b"-BUSY", b"-ERR"))
+
+
+def start(folder: Path, told: Mapping[str, object], *held: int, **environ: str) -> subprocess.Popen[str]:
+    config = folder / "config.json"
+    config.write_text(json.dumps(told))
+    return subprocess.Popen(
+        [sys.executable, "-m", "pebblepass.daemon"],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": str(folder), **environ},
+        stderr=subprocess.PIPE,
+        text=True,
+        pass_fds=held,
+    )
+
+
+def test_it_listens_on_the_socket_that_it_inherits(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(b"v"))
+    discovery = DiscoveryPeer([entry(cache, "s1")])
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        port = held.getsockname()[1]
+        told = {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{discovery.peer.port}",
+            "settings": FACTS,
+        }
+        # One that comes before the router does is served by it.
+        early = Client(port)
+        early.send(bulk(b"PING"))
+        process = start(tmp_path, told, held.fileno(), LB_INHERITED_FD=str(held.fileno()))
+        try:
+            eventually(lambda: is_ready(port), "the router is ready")
+            assert early.answer() in (b"+PONG", b"-LOADING no list of servers yet")
+            assert Client(port).ask(get("q1")) == b"v"
+        finally:
+            process.terminate()
+            process.communicate(timeout=PATIENCE_S)
+        assert process.returncode == 0
+        # It lets go of the socket, and the platform has it still.
+        assert held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+
+
+@pytest.mark.parametrize(
+    ("given", "complaint"),
+    [
+        ("three", "LB_INHERITED_FD: expected the number of a descriptor, got 'three'"),
+        ("987", "LB_INHERITED_FD: descriptor 987: Bad file descriptor"),
+        ("0", "LB_INHERITED_FD: descriptor 0: "),
+        ("silent", "does not listen"),
+        ("other", "listens at 127.0.0.1:"),
+    ],
+)
+def test_a_descriptor_that_is_not_the_clients_socket_is_one_plain_line(
+    tmp_path: Path, given: str, complaint: str
+) -> None:
+    with socket.socket() as silent, socket.create_server(("127.0.0.1", 0)) as other:
+        held = {"silent": silent.fileno(), "other": other.fileno()}
+        told = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": FACTS}
+        number = str(held.get(given, given))
+        process = start(tmp_path, told, *held.values(), LB_INHERITED_FD=number)
+        _, said = process.communicate(timeout=PATIENCE_S)
+    assert process.returncode == 2
+    assert complaint in said
+    assert said.count("\n") == 1
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -201,3 +201,12 @@
     again = only_send(router.handle(request("b", key=second), 3 * MS))
     assert again.server == other.server
     assert router.handle(AttemptSlow("b"), 50 * MS) == []
+
+
+def test_a_server_counts_as_avoided_while_little_is_sent_to_it() -> None:
+    router = started(settings(), fleet(2), origin=False)
+    assert router.avoided(0) == []
+    send = only_send(router.handle(request("first"), 0))
+    router.handle(ended(send, Outcome.CONNECT_FAILED), S)
+    assert router.avoided(S) == [send.server]
+    assert router.avoided(S + 60 * S) == []
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -290,6 +290,7 @@
     facts: dict[str, Any] | None = None,
     known: list[dict[str, Any]] | None = None,
     discovery_says: bytes | None = None,
+    ops: int | None = None,
 ) -> Iterator[Routed]:
     """Start a router over these peers, and check at the end that it lived and logged no exception."""
     entries = [entry(peer, name) for name, peer in caches.items()]
@@ -306,6 +307,7 @@
         "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 0, "reset": True, "instances": known or []},
         "settings": {**FACTS, **(facts or {})},
+        "ops": None if ops is None else f"127.0.0.1:{ops}",
     }
     process = start_router(folder, told)
     try:
