Take the end of the connection for the end of a store's answer without a length

A line for each lost connection showed what had come: a head with neither Content-Length nor chunks, 'Connection: close', and the whole body. http.py knew no end of a body but its length's (RFC 9112, 6.3: the connection's end is one), so good fetches counted as resets, were made twice, and cut every namespace's limit. Also values of headers may have blanks behind them (httptools leaves them): 'Not-Started: 1 ' was no '1'. Discovery's reader had the same gap.

--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -27,8 +27,15 @@
         except HttpError as error:
             self.spoil(f"broke the protocol: {error}")
             return
-        if not whole:
-            return
+        if whole:
+            self._take()
+
+    def eof_received(self) -> None:
+        """Take the end of the origin's sending, which may be the end of an answer."""
+        if self.exchange is not None and self.ended():
+            self._take()
+
+    def _take(self) -> None:
         status, report = self.status, self.headers.get(b"server-load")
         not_started = self.headers.get(b"not-started") == b"1"
         value = None if self._streaming else bytes(self._body)
--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -100,16 +100,23 @@
     def data_received(self, data: bytes) -> None:
         try:
             if self.read(data):
-                status, body = self.status, bytes(self._body)
-                self._body.clear()
-                if not self.answer_done():
-                    self.close()
-                if self._answer is not None and not self._answer.done():
-                    self._answer.set_result((status, body))
+                self._take()
         except HttpError as error:
             self._fail(error)
             self.close()
 
+    def eof_received(self) -> None:
+        if self.ended():
+            self._take()
+
+    def _take(self) -> None:
+        status, body = self.status, bytes(self._body)
+        self._body.clear()
+        if not self.answer_done():
+            self.close()
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result((status, body))
+
     def body_starts(self, length: int | None) -> None:
         pass
 
--- a/pebblepass/wire/http.py
+++ b/pebblepass/wire/http.py
@@ -40,6 +40,18 @@
             raise HttpError("head too long")
         return self._whole
 
+    def ended(self) -> bool:
+        """Take the orderly end of the stream; returns whether the answer is whole with it.
+
+        A body without a length and not in chunks goes on until the connection's end (RFC 9112, 6.3). A reset
+        is no such end: whoever sees one does not ask.
+        """
+        framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
+        if self._in_body and not self._whole and not framed:
+            self._whole, self._keep = True, False
+            return True
+        return False
+
     def answer_done(self) -> bool:
         """Go on to the next answer; returns whether the connection can be used again."""
         keep = self._keep
@@ -49,7 +61,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by httptools."""
         if not self._whole:
-            self.headers[name.lower()] = value
+            self.headers[name.lower()] = value.strip(b" \t")  # httptools leaves what may stand behind it
 
     def on_headers_complete(self) -> None:
         """Called by httptools; an interim answer (1xx) has no body and says nothing that is wanted."""
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -9,6 +9,7 @@
 from hypothesis import given, strategies
 
 from pebblepass.daemon.caches import CacheConnection
+from pebblepass.daemon.origin import OriginConnection
 from pebblepass.daemon.upstream import Answer, Exchange, Server
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
@@ -29,7 +30,7 @@
 
 
 class NoPool:
-    def released(self, connection: CacheConnection) -> None:
+    def released(self, connection: CacheConnection | OriginConnection) -> None:
         pass
 
 
@@ -39,6 +40,15 @@
     id, pool = "s1", NoPool()
 
 
+class OriginsPool(NoPool):
+    def lost(self, connection: OriginConnection) -> None:
+        pass
+
+
+class OriginsPlace(Place):
+    pool = OriginsPool()
+
+
 class NoTransport(asyncio.Transport):
     def abort(self) -> None:
         pass
@@ -98,3 +108,28 @@
     (ended,), usable = judged(hit(b"value") + MISS, 10_000)
     assert ended[:2] == (Outcome.OK, b"value")
     assert not usable
+
+
+def at_the_origin(*pieces: bytes, reset: bool = False) -> list[tuple[Any, ...]]:
+    """What an attempt is told whose answer comes in these pieces, and then the end of the connection."""
+    connection, exchange = OriginConnection(cast(Server, OriginsPlace())), Told()
+    connection.exchange, exchange.connection = exchange, connection
+    for piece in pieces:
+        connection.data_received(piece)
+    if not reset:
+        connection.eof_received()
+    connection.connection_lost(ConnectionResetError() if reset else None)
+    return exchange.seen
+
+
+def test_the_origins_answer_without_a_length_is_whole_with_the_end_of_its_connection() -> None:
+    head = b"HTTP/1.1 200 OK\r\nServer-Load: a=1 \r\nConnection: close\r\n\r\n"
+    told = [(Outcome.OK, b"all of it", None, b"a=1")]
+    assert at_the_origin(head, b"all ", b"of it") == told
+    assert at_the_origin(head + b"all of it") == told
+    assert at_the_origin(head, b"all ", reset=True) == [(Outcome.RESET, None, None, None)]
+    never = b"HTTP/1.1 503 X\r\nNot-Started: 1 \r\nConnection: close\r\n\r\nbusy"
+    assert at_the_origin(never) == [(Outcome.FULL, None, None, None)]
+    assert at_the_origin(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall ") == [
+        (Outcome.RESET, None, None, None)
+    ]
