Count as avoided only servers that get next to nothing

The figure counted every server with less than half of its chance, and a late answer takes three quarters of that for a second or two, while the server still gets most of its traffic (Router.avoided, logic.py). Change: down, at the least chance, or without a place for a connection.

--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -42,7 +42,6 @@
 HOLD_SILENT = 4 * NS_PER_S  # before that begins: of the requests in these seconds half go unanswered too
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE, SLOW_SHARE = 0.125, 0.95, 0.8  # of the aim
-AVOIDED = 0.5  # a server with less of a chance counts as one that is avoided
 DEAD = -0.02
 NO_ROOM, NO_ROOM_DOUBLED = NS_PER_S, 4  # the first pause after a server had no place for a connection
 QUICK_SHARE, SLOW_FETCH_SHARE = 0.4, 0.55  # of the aim: fetches that widen the window, and that narrow it
@@ -91,6 +90,10 @@
         """Whether nothing is held against it."""
         return self._chance >= 1.0 and not self._crowded
 
+    def avoided(self, now: int) -> bool:
+        """Whether it is down, or has no more than the least chance of one that is up."""
+        return (self.down and self.chance(now) < 1.0) or self.chance(now) <= PASS_FLOOR
+
     def has_room(self, now: int) -> bool:
         """Whether it may be asked for a connection again."""
         return now >= self._room_at
@@ -363,9 +366,12 @@
         return {name: guard.limit for name, guard in self._guards.items() if name}
 
     def avoided(self, now: int) -> list[str]:
-        """The ready caches that are asked seldom or not at all, by what is held against them."""
+        """The ready caches that get next to nothing, by what is held against them.
+
+        One that was late now and then is not among them: it is asked less for a second or two.
+        """
         nodes = self._caches.nodes.items()
-        return [name for name, node in nodes if node.chance(now) < AVOIDED or not node.has_room(now)]
+        return [name for name, node in nodes if node.avoided(now) or not node.has_room(now)]
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
