--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -7,9 +7,11 @@
 import logging
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from pebblepass.daemon.upstream import ValueSource
+from pebblepass.handover.messages import MOST_HELD, Handed
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
 
@@ -48,7 +50,7 @@
     """Bytes for long commands: they are set aside before the command is read, so that all can be finished."""
 
     def __init__(self, total: int) -> None:
-        self._free = total
+        self._total = self._free = total
         self._waiting: deque[ClientConnection] = deque()
 
     def take(self, connection: ClientConnection, size: int) -> bool:
@@ -59,6 +61,11 @@
         self._free -= size
         return True
 
+    def resize(self, total: int) -> None:
+        """Set another total; what is set aside stays so."""
+        self._total, self._free = total, self._free + total - self._total
+        self.give_back(0)
+
     def give_back(self, size: int) -> None:
         """Free bytes, and let those that wait go on."""
         self._free += size
@@ -136,8 +143,9 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer) -> None:
-        self.server = server
+    def __init__(self, server: ClientServer, handed: Handed | None = None) -> None:
+        """`handed`: what another process has begun on it."""
+        self.server, self._handed = server, handed
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
@@ -151,12 +159,17 @@
         self._starved = False  # waits for the budget
         self._last = False
         self.refusing = False
+        self.given = False
+        """Whether it is on its way to another process."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
+        if self._handed is not None and not self.transport.is_closing():
+            self._go_on(self._handed)  # before anything further is read
+            self._handed = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Take the end of the connection."""
@@ -283,6 +296,8 @@
             self.used_at = self.server.loop.time()
         if not replies and self._last and self.transport is not None:
             self.transport.close()
+        elif not replies and self.server.give is not None:
+            self.server.loop.call_soon(self.hand_on)  # the answer has still to leave
         elif not self._reading:
             self._set_reading()
 
@@ -303,7 +318,7 @@
 
     def _set_reading(self) -> None:
         full = len(self.replies) >= MAX_PIPELINE
-        wanted = not (self.blocked or self._starved or self._reader.broken or full)
+        wanted = not (self.blocked or self._starved or self._reader.broken or full or self.given)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -326,6 +341,70 @@
         else:
             self._last = even_midway or not self._reader.need or self._last
 
+    def hand_on(self) -> None:
+        """Give it to another process now, if nothing is open and little of a command has come.
+
+        Else it is asked for again when its last answer has been given.
+        """
+        unfit = (
+            self._last
+            or self.given
+            or self.closed
+            or self.blocked
+            or self._starved
+            or self._reserved
+            or self.refusing
+        )
+        if self.transport is None or self.transport.is_closing() or unfit or self.replies:
+            return
+        if self.server.give is None or self._reader.held_bytes > MOST_HELD:
+            return
+        # Danger: answers that the kernel has not taken are lost with this process.
+        if self.transport.get_write_buffer_size():
+            return
+        if self._reading:
+            self.transport.pause_reading()
+            self._reading = False
+        self.given = True
+        self.server.give(self)
+
+    @property
+    def descriptor(self) -> int:
+        """The number of its descriptor."""
+        assert self.transport is not None
+        held: int = self.transport.get_extra_info("socket").fileno()
+        return held
+
+    def handed(self) -> Handed:
+        """What goes with it."""
+        begun = max(int((self.server.loop.time() - self._begun_at) * 1000), 0)
+        greeted = self.greeted
+        told = (greeted.protocol, greeted.name, greeted.number) if greeted is not None else (0, b"", 0)
+        return Handed(self._reader.held, begun, self._spoken, *told)
+
+    def taken_back(self) -> None:
+        """The other process could not have it."""
+        self.given = False
+        self._set_reading()
+
+    def left(self) -> None:
+        """The other process has it: let go of the descriptor, and of nothing else."""
+        self.closed = True
+        self.server.closed(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _go_on(self, handed: Handed) -> None:
+        self._spoken = handed.spoken
+        if handed.protocol:
+            from pebblepass.daemon.greetings import Greeted
+
+            self.server.greeted += 1
+            self.greeted = Greeted(handed.number, handed.protocol, handed.name)
+        if handed.held:
+            self.data_received(handed.held)
+            self._begun_at = self.server.loop.time() - handed.begun_ms / 1000
+
     def abort(self) -> None:
         """Break the connection."""
         if self.transport is not None:
@@ -334,6 +413,8 @@
 
     def check(self, now: float) -> None:
         """Close it if the client is too slow."""
+        if self.given:
+            return
         if self.blocked:
             assert self.transport is not None
             size = self.transport.get_write_buffer_size()
@@ -375,12 +456,34 @@
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
+        self.give: Callable[[ClientConnection], None] | None = None
+        """Takes each connection that has nothing open, for another process, where there is one."""
         self.draining = False
         """Whether nobody is accepted any longer."""
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
+    @property
+    def limit(self) -> int:
+        """Most connections that are served at a time."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self._limit = limit
+        idle = sorted((held for held in self._connections if held.idle), key=lambda held: held.used_at)
+        for connection in idle[: max(len(self._connections) - limit, 0)]:
+            connection.abort()
+
+    async def adopt(self, sock: socket.socket, handed: Handed) -> None:
+        """Go on with a connection of another process."""
+        try:
+            await self.loop.connect_accepted_socket(functools.partial(ClientConnection, self, handed), sock)
+        except OSError:
+            sock.close()
+
     async def listen(self, at: Address | socket.socket) -> None:
         """Accept clients at this address, or on a socket that listens already."""
+        self.draining = False
         make = functools.partial(ClientConnection, self)
         if isinstance(at, socket.socket):
             self._listener = await self.loop.create_server(make, sock=at, backlog=BACKLOG)
@@ -408,21 +511,32 @@
         """Forget a connection."""
         self._connections.pop(connection, None)
 
+    @property
+    def listening(self) -> bool:
+        """Whether clients are accepted."""
+        return self._listener is not None
+
     @property
     def connected(self) -> int:
         """How many connections there are."""
         return len(self._connections)
 
     def stop_accepting(self) -> None:
-        """Accept nobody any longer, and close what stands between requests."""
+        """Accept nobody any longer."""
         self.draining = True
         if self._listener is not None:
             self._listener.close()
             self._listener = None
-        self.finish(even_midway=False)
+
+    def hand_on(self, give: Callable[[ClientConnection], None]) -> None:
+        """Give every connection away, now or once it has nothing open."""
+        self.give = give
+        for connection in list(self._connections):
+            connection.hand_on()
 
     def finish(self, even_midway: bool) -> None:
         """Close all connections once they have nothing open."""
+        self.give = None
         for connection in list(self._connections):
             connection.finish(even_midway)
 
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import logging
+import os
+import socket
+import tempfile
 import time
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
@@ -20,6 +23,7 @@
 from pebblepass.wire.address import Address
 
 if TYPE_CHECKING:
+    from pebblepass.daemon.succession import Succession
     from pebblepass.operator import ManyKeysSection
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
@@ -57,7 +61,8 @@
         # Those that are only refused need descriptors too: beyond the share servers would miss them.
         served = max(for_clients - REFUSERS, for_clients // 2)
         self.clients = ClientServer(loop, self.host, served, int(config.memory * BUDGET_SHARE))
-        clock = Clock(self.host.now(), unix_ns())
+        clock = self._clock = Clock(self.host.now(), unix_ns())
+        self._succession: Succession | None = None
         self._discovery = Discovery(
             config.discovery, config.settings.must_subscribe, clock, self._take, self.host.discovery_failed
         )
@@ -82,23 +87,41 @@
         if self._config.ops is not None:
             self._control = ControlAddress(self._loop, Told(self.is_ready, self.host.figures))
             await self._control.listen(self._config.ops)
-        held = self._config.inherited
-        await self.clients.listen(self._config.listen if held is None else adopt(held, self._config.listen))
+        if self._config.inherited is None:
+            await self.clients.listen(self._config.listen)
+        else:
+            await self._succeed(adopt(self._config.inherited, self._config.listen))
         if not self._config.settings.must_subscribe:
             self._discovery.start()
         if self._config.known is not None:
             self._loop.call_later(READY_S, self._make_do)
 
+    async def _succeed(self, listener: socket.socket) -> None:
+        """Begin beside a process that is there, or alone; clients are accepted once the servers are known."""
+        # Loaded only where the platform holds the clients' socket.
+        from pebblepass.daemon.succession import Routed, Succession
+
+        folder = os.environ.get("TMPDIR") or tempfile.gettempdir()
+        budget = int(self._config.memory * BUDGET_SHARE)
+        routed = Routed(self._loop, self.host, self.clients, self._pool, self._discovery, self._clock, budget)
+        self._succession = Succession(routed, listener, folder, OWN_DESCRIPTORS)
+        await self._succession.begin()
+        if self._succession.told:
+            self._loop.call_later(READY_S, self._make_do)
+
     def is_ready(self) -> bool:
         """Whether it knows its servers, and takes requests still."""
-        return self.host.ready and not self.clients.draining
+        return self.host.ready and self.clients.listening
 
     def _take(self, listing: Listing) -> None:
         self.host.servers_changed(listing)
-        self.host.ready = True
+        self._make_do()
 
     def _make_do(self) -> None:
-        self.host.ready = True
+        if not self.host.ready:
+            self.host.ready = True
+            if self._succession is not None:
+                self._succession.ready()
 
     def move_discovery(self, address: Address) -> None:
         """Follow the list at another address; the list held stays until that one has spoken."""
@@ -123,13 +146,16 @@
 
     async def drain(self) -> None:
         """Take what still comes for a moment, then nothing new, and answer what was taken."""
-        begun = self._loop.time()
+        begun, succession = self._loop.time(), self._succession
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
-        await asyncio.sleep(ACCEPT_S)
-        self.clients.stop_accepting()
+        if succession is None or not succession.leave():
+            await asyncio.sleep(ACCEPT_S)
+            self.clients.stop_accepting()
+            self.clients.finish(even_midway=False)
         while self.clients.connected and self._loop.time() < begun + longest + KILL_SLACK_S:
             await asyncio.sleep(DRAIN_STEP_S)
-            if self._loop.time() >= begun + MIDWAY_S:
+            # Those that another process takes over are closed by nobody.
+            if self._loop.time() >= begun + MIDWAY_S and self.clients.give is None:
                 self.clients.finish(even_midway=True)
 
     def stop(self) -> None:
@@ -143,3 +169,5 @@
         self._discovery.close()
         if self._control is not None:
             self._control.close()
+        if self._succession is not None:
+            self._succession.close()
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -23,6 +23,7 @@
     Event,
     Fail,
     KeysArrived,
+    Knowledge,
     ListKind,
     Outcome,
     Probe,
@@ -34,6 +35,7 @@
     RouterLate,
     Send,
     SendKeys,
+    Server,
     ServersChanged,
     ServerState,
     SetTimer,
@@ -368,6 +370,14 @@
         """The fetches a second that each namespace may have now."""
         return self._router.limits()
 
+    def listed(self) -> list[Server]:
+        """The ready servers, as they were listed last."""
+        return self._router.listed()
+
+    def knowledge(self) -> Knowledge:
+        """What the module has learned."""
+        return self._router.knowledge(self.now())
+
     def figures(self) -> list[str]:
         """The platform's figures, a line each."""
         nodes = sum(kind != self.settings.origin_kind for kind in self.kinds.values())
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -299,6 +299,28 @@
         """The servers that may be sent to."""
         return (server.id for server in self._servers.values() if server.open)
 
+    def addresses(self) -> dict[str, Address]:
+        """Where the servers are that may be sent to."""
+        return {server.id: server.address for server in self._servers.values() if server.open}
+
+    @property
+    def busy(self) -> int:
+        """Connections under way, or with an exchange on them."""
+        return self._held - sum(len(server.idle) for server in self._servers.values())
+
+    @property
+    def limit(self) -> int:
+        """Most connections at a time."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self._limit = limit
+        while self._held > limit and self._evict():
+            pass
+        for server in self._servers.values():
+            self._dial_for(server)
+
     def submit(self, server_id: str, exchange: Exchange) -> None:
         """Send on an idle connection, or wait for one."""
         server = self._servers.get(server_id)
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -273,8 +273,81 @@
     lag: int
 
 
+@dataclass(frozen=True, slots=True)
+class NodeKnown:
+    """What a router holds of one server, a cache or the origin; all times are its own clock's."""
+
+    server: str
+    started: int
+    """The server's start, as listed: one that has started since is another one."""
+    heard_at: int
+    """When an attempt at it last told something."""
+    weight: float
+    """How much of it counts, from 0 to 1: whoever hands it on lets it age."""
+    chance: float
+    judged_at: int
+    regain: int
+    down: bool
+    unheard: int
+    crowded: int
+    room_at: int
+    usual: float
+    """The smoothed time of its answers, in nanoseconds; 0: not known."""
+    spread: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitKnown:
+    """One tenant's limit, and the calls of its window."""
+
+    tenant: str
+    limit: float
+    calls: tuple[tuple[int, int, int], ...]
+    """Time, calls that went to the origin then, calls declined; the oldest first."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreKnown:
+    """How the origin does."""
+
+    window: float
+    """Reads that may be out; infinite until one was slow."""
+    width: float
+    """Writes that may be out; infinite until fetches went wrong."""
+    bad: float
+    """The smoothed share of bad fetches."""
+    fetch_usual: float
+    fetch_spread: float
+    answer_usual: float
+    answer_spread: float
+    """Of fetches and of the caches' answers: their smoothed time, and its deviation, in nanoseconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What a router has learned, for one that begins beside it."""
+
+    nodes: tuple[NodeKnown, ...]
+    limits: tuple[LimitKnown, ...]
+    store: StoreKnown
+    heat: tuple[tuple[int, float], ...]
+    """Slots that many ask for lately, and how often."""
+    usage: tuple[tuple[str, float], ...]
+    """Tenants, and how many requests of theirs came lately."""
+    weight: float = 1.0
+    """How much counts of all that is not a node's, from 0 to 1."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnowledgeGained:
+    """Another router's knowledge, taken over at the start; servers that are not listed are left out."""
+
+    knowledge: Knowledge
+
+
 Event = (
     ServersChanged
+    | KnowledgeGained
     | RequestArrived
     | KeysArrived
     | KeysServed
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -31,6 +31,7 @@
 CUT, RISE_S = 0.7, 15.0
 EASE_SHARE = 0.05  # declined of the calls that the origin had
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
+HEAT_TOLD = 256  # slots that another router is told of
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
 PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
@@ -71,7 +72,7 @@
         self.weight = entry.weight if weighted else 1.0
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.down = False
-        self.unheard = 0
+        self.unheard = self.heard_at = 0
         self.pace = Pace()
         self._chance, self._judged_at, self._regain = 1.0, 0, REGAIN_LATE
         self._crowded, self._room_at = 0, 0
@@ -109,6 +110,7 @@
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
         chance, hold = self.chance(now), 0
+        self.heard_at = now
         self.unheard = self.unheard + 1 if outcome in (Outcome.TIMEOUT, Outcome.RESET) else 0
         if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and self.unheard > 1):
             chance, self.down, self._regain = DEAD, True, REGAIN_DEAD
@@ -123,6 +125,34 @@
             self._crowded = self._room_at = 0
         self._chance, self._judged_at = chance, now + hold
 
+    def known(self) -> api.NodeKnown:
+        """What is held of it, for another router."""
+        return api.NodeKnown(
+            self.entry.id,
+            self.entry.started,
+            self.heard_at,
+            1.0,
+            self._chance,
+            self._judged_at,
+            self._regain,
+            self.down,
+            self.unheard,
+            self._crowded,
+            self._room_at,
+            self.pace.usual,
+            self.pace.spread,
+        )
+
+    def learn(self, known: api.NodeKnown) -> None:
+        """Take over what another router holds of it; times of answers count by their weight, as 0 is none."""
+        # Danger: a server that has started since has lost its queue and its faults, and is cold.
+        if known.started != self.entry.started or known.heard_at <= self.heard_at:
+            return
+        self.heard_at, self.down, self.unheard = known.heard_at, known.down, known.unheard
+        self._chance, self._judged_at, self._regain = known.chance, known.judged_at, known.regain
+        self._crowded, self._room_at = known.crowded, known.room_at
+        self.pace.usual, self.pace.spread = known.usual * known.weight, known.spread * known.weight
+
 
 class SlotTable:
     """Weighted rendezvous hashing of slots over the ready servers, remembered slot by slot."""
@@ -199,6 +229,16 @@
             self._total = sum(self._counts.values())
         return share
 
+    def hottest(self) -> list[tuple[int | str, float]]:
+        """What was asked for most, and how often."""
+        return nlargest(HEAT_TOLD, self._counts.items(), key=itemgetter(1))
+
+    def learn(self, known: Sequence[tuple[int | str, float]], weight: float) -> None:
+        """Count what another router has counted."""
+        for slot, count in known:
+            self._counts[slot] = self._counts.get(slot, 0.0) + count * weight
+            self._total += count * weight
+
 
 class Suppressor:
     """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
@@ -219,6 +259,22 @@
         self._calls.append((now, declined))
         self.declined += declined
 
+    def known(self, tenant: str, now: int) -> api.LimitKnown:
+        """The limit and the window's calls, for another router."""
+        self.accepted(now)
+        counts: dict[int, list[int]] = {}
+        for at, declined in self._calls:
+            counts.setdefault(at // CHANCE_CACHED, [0, 0])[declined] += 1
+        calls = tuple((step * CHANCE_CACHED, each[0], each[1]) for step, each in counts.items())
+        return api.LimitKnown(tenant, self.limit, calls)
+
+    def learn(self, known: api.LimitKnown, weight: float) -> None:
+        """Take over another router's limit, by its weight, and its calls beside those counted here."""
+        self.limit += (min(max(known.limit, self.floor), self.cap) - self.limit) * weight
+        told = [(at, bool(i)) for at, *counts in known.calls for i in (0, 1) for _ in range(counts[i])]
+        self._calls = deque(sorted([*told, *self._calls]))
+        self.declined = sum(declined for _, declined in self._calls)
+
     def accepted(self, now: int) -> int:
         """Calls of the window that went to the origin."""
         while self._calls and self._calls[0][0] <= now - self.window_s * NS_PER_S:
@@ -355,6 +411,8 @@
                 self._timer(event.token)
             case api.RouterLate():
                 self._lag = event.lag
+            case api.KnowledgeGained():
+                self._learn(event.knowledge)
             case api.AttemptSlow() if event.request in self._requests:
                 self._send_twin(self._requests[event.request])
             case api.ClientGone() if event.request in self._requests:
@@ -365,6 +423,46 @@
         """The fetches a second that each tenant may have now, for the account of them only."""
         return {name: guard.limit for name, guard in self._guards.items() if name}
 
+    def listed(self) -> list[api.Server]:
+        """The ready servers, the origin among them, as they were listed last."""
+        return [node.entry for table in (self._caches, self._origins) for node in table.nodes.values()]
+
+    def knowledge(self, now: int) -> api.Knowledge:
+        """What this router has learned, for one that begins beside it."""
+        nodes = self._caches.nodes.values()  # of the origin nothing is held by node
+        fetches, answers = self._fetches, self._answers
+        store = (fetches.usual, fetches.spread, answers.usual, answers.spread)
+        return api.Knowledge(
+            tuple(node.known() for node in nodes if node.heard_at),
+            tuple(guard.known(name, now) for name, guard in self._guards.items()),
+            api.StoreKnown(self._window, self._width, self._origin_bad, *store),
+            tuple((slot, count) for slot, count in self._heat.hottest() if isinstance(slot, int)),
+            tuple((name, count) for name, count in self._usage.hottest() if isinstance(name, str)),
+        )
+
+    def _learn(self, known: api.Knowledge) -> None:
+        for node in known.nodes:
+            if node.server in self._caches.nodes:
+                self._caches.nodes[node.server].learn(node)
+        for limit in known.limits:
+            if limit.tenant in self._guards:
+                self._guards[limit.tenant].learn(limit, known.weight)
+        self._heat.learn(known.heat, known.weight)
+        self._usage.learn(known.usage, known.weight)
+        store, weight = known.store, known.weight
+        self._origin_bad += (store.bad - self._origin_bad) * weight
+        for pace, usual, spread in (
+            (self._fetches, store.fetch_usual, store.fetch_spread),
+            (self._answers, store.answer_usual, store.answer_spread),
+        ):
+            pace.usual += (usual - pace.usual) * weight
+            pace.spread += (spread - pace.spread) * weight
+        if weight > 0:  # what is infinite here is not known: in parts it would be no less
+            self._window, self._width = (
+                min(mine, max(told, 1.0) / weight)
+                for mine, told in ((self._window, store.window), (self._width, store.width))
+            )
+
     def avoided(self, now: int) -> list[str]:
         """The ready caches that get next to nothing, by what is held against them.
 
--- /dev/null
+++ b/pebblepass/handover/messages.py
@@ -0,0 +1,252 @@
+"""The messages between the two processes, and their bytes. No I/O.
+
+A message is one datagram of a sequenced-packet socket: a letter, and behind it JSON. What is known may take
+several. A message of a foreign version, or one that can't be read, raises HandoverError in one plain line.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from pebblepass.decisions.interface import Knowledge, LimitKnown, NodeKnown, StoreKnown
+
+VERSION = 1
+MOST_BYTES = 48 << 10  # of one message: far under what a socket's buffer takes
+MOST_TOLD = 4 << 20
+MOST_CROWDED = 8
+MOST_HELD = 4 << 10  # bytes of a command under way that change hands with its connection
+MOST_HANDED = 16  # connections in one message
+
+
+class HandoverError(Exception):
+    """What came can't be used; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A new process has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Another new process is there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """A part of what is known; `last`: no more follows."""
+
+    part: bytes
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """The new process serves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """How many connections the old process still holds."""
+
+    clients: int
+    servers: int
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """What goes with one client's connection."""
+
+    held: bytes
+    """The bytes of a command under way."""
+    begun_ms: int
+    """How long ago that command, or the connection, began."""
+    spoken: bool
+    """Whether it has brought a whole command before."""
+    protocol: int
+    """Its protocol, where it has greeted; else 0."""
+    name: bytes
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Connections:
+    """Clients' connections; their descriptors travel beside, in the same order."""
+
+    handed: tuple[Handed, ...]
+
+
+Message = Hello | Refused | Told | Ready | Held | Connections
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """All that a router tells its successor."""
+
+    listing: dict[str, Any]
+    """The list of servers, in discovery's form."""
+    knowledge: Knowledge
+    told_at: int
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of one message."""
+    match message:
+        case Hello():
+            return b"H" + orjson.dumps({"version": VERSION})
+        case Refused():
+            return b"N"
+        case Told():
+            return (b"E" if message.last else b"P") + message.part
+        case Ready():
+            return b"R"
+        case Held():
+            return b"D" + orjson.dumps([message.clients, message.servers])
+        case Connections():
+            rows = [
+                [each.held.hex(), each.begun_ms, each.spoken, each.protocol, each.name.hex(), each.number]
+                for each in message.handed
+            ]
+            return b"C" + orjson.dumps(rows)
+
+
+def decode(data: bytes) -> Message:
+    """Read one message; raises HandoverError."""
+    kind, body = data[:1], data[1:]
+    try:
+        match kind:
+            case b"H":
+                version = orjson.loads(body)["version"]
+                if version != VERSION:
+                    raise HandoverError(f"a process that speaks version {version} of the handover")
+                return Hello()
+            case b"N":
+                return Refused()
+            case b"P" | b"E":
+                return Told(body, kind == b"E")
+            case b"R":
+                return Ready()
+            case b"D":
+                clients, servers = orjson.loads(body)
+                return Held(_count(clients), _count(servers))
+            case b"C":
+                return Connections(tuple(_handed(*row) for row in orjson.loads(body)))
+    except (KeyError, TypeError, ValueError) as error:
+        raise HandoverError(f"a message that can't be read: {error}") from None
+    raise HandoverError(f"a message of an unknown kind: {kind!r}")
+
+
+def _count(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"expected a count, got {value!r}")
+    return value
+
+
+def _handed(held: str, begun_ms: Any, spoken: Any, protocol: Any, name: str, number: Any) -> Handed:
+    count = _count(begun_ms), _count(protocol), _count(number)
+    return Handed(bytes.fromhex(held), count[0], bool(spoken), count[1], bytes.fromhex(name), count[2])
+
+
+def parts(account: bytes) -> list[Told]:
+    """Cut an account into messages."""
+    cuts = range(0, len(account), MOST_BYTES)
+    return [Told(account[at : at + MOST_BYTES], at + MOST_BYTES >= len(account)) for at in cuts]
+
+
+def write_account(account: Account, unix_ms: Callable[[int], int]) -> bytes:
+    """Write an account down; `unix_ms` turns a server's start into Unix milliseconds, as it was listed."""
+    known, now = account.knowledge, account.told_at
+    told = {
+        "version": VERSION,
+        "listing": account.listing,
+        "nodes": [
+            [
+                node.server,
+                unix_ms(node.started),
+                now - node.heard_at,
+                node.chance,
+                now - node.judged_at,
+                node.regain,
+                node.down,
+                node.unheard,
+                node.crowded,
+                node.room_at - now,
+                node.usual,
+                node.spread,
+            ]
+            for node in known.nodes
+        ],
+        "limits": [
+            [limit.tenant, limit.limit, [[now - at, went, declined] for at, went, declined in limit.calls]]
+            for limit in known.limits
+        ],
+        "store": [
+            _finite(known.store.window),
+            _finite(known.store.width),
+            known.store.bad,
+            known.store.fetch_usual,
+            known.store.fetch_spread,
+            known.store.answer_usual,
+            known.store.answer_spread,
+        ],
+        "heat": known.heat,
+        "usage": known.usage,
+    }
+    return orjson.dumps(told)
+
+
+def _finite(value: float) -> float | None:
+    return None if math.isinf(value) else value
+
+
+def read_account(data: bytes, now: int, monotonic: Callable[[int], int]) -> Account:
+    """Read an account; `monotonic` turns a start in Unix milliseconds back. Raises HandoverError.
+
+    Times in the account are those of the reader's clock: what was told counts as put together now.
+    """
+    try:
+        told = orjson.loads(data)
+        if told["version"] != VERSION:
+            raise HandoverError(f"an account of version {told['version']}")
+        nodes = []
+        for row in told["nodes"]:
+            server, start, heard, chance, judged, regain, down, unheard, crowded, room, usual, spread = row
+            if not -1 <= chance <= 1 or _count(regain) < 1 or usual < 0 or spread < 0:
+                raise ValueError(f"{server}: out of range")
+            node = NodeKnown(
+                str(server),
+                monotonic(_count(start)),
+                now - _count(heard),
+                1.0,
+                float(chance),
+                now - int(judged),
+                regain,
+                bool(down),
+                _count(unheard),
+                min(_count(crowded), MOST_CROWDED),
+                now + int(room),
+                float(usual),
+                float(spread),
+            )
+            nodes.append(node)
+        limits = []
+        for tenant, limit, calls in told["limits"]:
+            if not limit >= 0:
+                raise ValueError(f"limit of {tenant!r}: out of range")
+            rows = tuple((now - int(age), _count(went), _count(declined)) for age, went, declined in calls)
+            limits.append(LimitKnown(str(tenant), float(limit), rows))
+        window, width, *rest = told["store"]
+        ends = [math.inf if value is None else float(value) for value in (window, width)]
+        store = StoreKnown(*ends, *[float(value) for value in rest])
+        heat = tuple((_count(slot), float(count)) for slot, count in told["heat"])
+        usage = tuple((str(name), float(count)) for name, count in told["usage"])
+        if not isinstance(told["listing"], dict):
+            raise TypeError("listing: expected an object")
+        return Account(told["listing"], Knowledge(tuple(nodes), tuple(limits), store, heat, usage), now)
+    except (KeyError, TypeError, ValueError, orjson.JSONDecodeError) as error:
+        raise HandoverError(f"an account that can't be read: {error}") from None
--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -47,6 +47,10 @@
         """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
         return unix_ms * 1_000_000 - self._behind if unix_ms else 0
 
+    def unix_ms(self, monotonic_ns: int) -> int:
+        """The Unix time in milliseconds from which `monotonic` has made this one."""
+        return (monotonic_ns + self._behind) // 1_000_000 if monotonic_ns else 0
+
 
 def read_listing(body: Any, clock: Clock, kind: ListKind | None = None) -> Listing:
     """Read discovery's form; raises ValueError on anything amiss, and then nothing of it counts."""
@@ -64,6 +68,31 @@
         raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
 
 
+def write_listing(
+    generation: int, servers: Iterable[Server], addresses: Mapping[str, Address], clock: Clock
+) -> dict[str, Any]:
+    """Write the ready servers down in discovery's form; one without an address is left out."""
+    words = {state: word for word, state in _STATES.items()}
+    return {
+        "generation": generation,
+        "reset": True,
+        "instances": [
+            {
+                "instanceId": server.id,
+                "hostPort": "{}:{}".format(*addresses[server.id]),
+                "zone": server.zone,
+                "machineType": server.kind,
+                "cell": server.cell,
+                "lifecycle": words[server.state],
+                "weight": server.weight,
+                "startedAtMs": clock.unix_ms(server.started),
+            }
+            for server in servers
+            if server.id in addresses
+        ],
+    }
+
+
 def _server(entry: dict[str, Any], clock: Clock) -> Server:
     if not isinstance(entry["instanceId"], str):
         raise TypeError("instanceId must be a string")
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -74,6 +74,16 @@
         self.broken = ""
         """Why the stream can't be followed any further, once that is so."""
 
+    @property
+    def held(self) -> bytes:
+        """What has come of the command under way."""
+        return bytes(self._held)
+
+    @property
+    def held_bytes(self) -> int:
+        """How much that is."""
+        return len(self._held)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the commands that are now whole, up to a broken one if `broken` is set by it."""
         if self.need:
--- /dev/null
+++ b/tests/daemon/test_upgrade.py
@@ -0,0 +1,261 @@
+"""An upgrade between real processes: one after another on the clients' socket, which the test holds."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from pebblepass.standins.ports import take_port
+from tests.daemon.test_operations import control, figures
+from tests.sockets import (
+    FACTS,
+    PATIENCE_S,
+    ROOT,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+)
+
+
+class Site:
+    """The platform's part: the listening socket, the folder, the list, and the processes."""
+
+    def __init__(self, folder: Path, caches: dict[str, Peer], sockets: int = 256) -> None:
+        self.folder, self.caches = folder, caches
+        self.held = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.port = int(self.held.getsockname()[1])
+        self.discovery = DiscoveryPeer([entry(peer, name) for name, peer in caches.items()])
+        self.limits = {"cores": 1.0, "memory_mb": 80, "sockets": sockets}
+        self.processes: list[subprocess.Popen[str]] = []
+        self.logs: list[str] = []
+
+    def start(self) -> tuple[subprocess.Popen[str], int]:
+        """Start a process, and wait until it says that it is ready; returns it and its control address."""
+        ops = take_port()
+        told = {
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.discovery.peer.port}",
+            "settings": FACTS,
+            "limits": self.limits,
+            "ops": f"127.0.0.1:{ops}",
+        }
+        config = self.folder / f"config{len(self.processes)}.json"
+        config.write_text(json.dumps(told))
+        number = self.held.fileno()
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pebblepass.daemon"],
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "LB_CONFIG": str(config),
+                "LB_INHERITED_FD": str(number),
+                "TMPDIR": str(self.folder),
+            },
+            stderr=subprocess.PIPE,
+            text=True,
+            pass_fds=(number,),
+        )
+        self.processes.append(process)
+        eventually(lambda: process.poll() is not None or is_yes(ops), "the word that it is ready")
+        assert process.poll() is None, process.communicate()[1]
+        return process, ops
+
+    def end(self, process: subprocess.Popen[str]) -> None:
+        """End it by SIGTERM."""
+        process.send_signal(signal.SIGTERM)
+        _, log = process.communicate(timeout=PATIENCE_S)
+        self.logs.append(log)
+        assert process.returncode == 0, log
+
+    def client(self) -> Client:
+        return Client(self.port)
+
+
+def is_yes(ops: int) -> bool:
+    with contextlib.suppress(OSError):
+        return control(ops, "ready")[0] == 200
+    return False
+
+
+@contextlib.contextmanager
+def site(folder: Path, caches: dict[str, Peer], sockets: int = 256) -> Iterator[Site]:
+    made = Site(folder, caches, sockets)
+    try:
+        yield made
+    finally:
+        for process in made.processes:
+            if process.poll() is None:
+                made.end(process)
+        made.held.close()
+        for peer in (*caches.values(), made.discovery.peer):
+            peer.close()
+    assert not any("Traceback" in log for log in made.logs), made.logs
+
+
+def served(ops: int) -> int:
+    return figures(ops)["answered.get"]
+
+
+def descriptors(process: subprocess.Popen[str]) -> int:
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+def test_clients_keep_their_connections_through_two_upgrades(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, _ = made.start()
+        clients = [made.client() for _ in range(40)]
+        for number, client in enumerate(clients):
+            assert client.ask(get(f"a{number}")) == b"v"
+        for turn in ("b", "c"):
+            new, ops = made.start()
+            made.end(old)
+            for number, client in enumerate(clients):
+                assert client.ask(get(f"{turn}{number}")) == b"v"
+            assert served(ops) == len(clients)
+            old = new
+
+
+def test_half_a_command_is_finished_at_the_new_process(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, _ = made.start()
+        client, whole = made.client(), get("q1")
+        assert client.ask(bulk(b"HELLO", b"2")).startswith(b"*")
+        assert [client.answer() for _ in range(14)][-1] == b"*0"
+        client.send(whole[:30])
+        _, ops = made.start()
+        made.end(old)
+        assert client.ask(whole[30:]) == b"v"
+        assert served(ops) == 1
+
+
+def test_what_is_open_is_answered_by_the_process_that_took_it(tmp_path: Path) -> None:
+    waiting: list[socket.socket] = []
+
+    def cache(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        if words[1] == b"slow":
+            waiting.append(connection)
+            return None
+        return hit(b"quick")
+
+    with site(tmp_path, {"s1": Peer(cache)}) as made:
+        old, before = made.start()
+        client = made.client()
+        client.send(get("q1", "slow"))
+        eventually(lambda: waiting, "the request at its server")
+        _, ops = made.start()
+        old.send_signal(signal.SIGTERM)
+        # The rest is the new one's from here on.
+        assert made.client().ask(get("q2")) == b"quick"
+        assert figures(before)["current"] == 1
+        waiting[0].sendall(hit(b"late"))
+        assert client.answer() == b"late"
+        assert client.ask(get("q3")) == b"quick"
+        assert served(ops) == 2
+        old.communicate(timeout=PATIENCE_S)
+        assert old.returncode == 0
+
+
+def test_the_old_process_serves_on_when_the_new_one_ends_before_it_was_told_to(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, ops = made.start()
+        new, _ = made.start()
+        eventually(lambda: not is_yes(ops), "the old one's word that it takes nothing new")
+        new.kill()
+        new.communicate(timeout=PATIENCE_S)
+        eventually(lambda: is_yes(ops), "the old one's word that it serves again")
+        assert made.client().ask(get("q1")) == b"v"
+        # And it hands on as ever, to the next.
+        _, next_ops = made.start()
+        made.end(old)
+        assert made.client().ask(get("q2")) == b"v"
+        assert served(next_ops) == 1
+
+
+def test_a_process_killed_outright_leaves_a_door_that_keeps_nobody(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, _ = made.start()
+        old.kill()
+        old.communicate(timeout=PATIENCE_S)
+        _, ops = made.start()
+        assert made.client().ask(get("q1")) == b"v"
+        assert served(ops) == 1
+
+
+def test_one_that_is_there_and_silent_keeps_nobody(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, _ = made.start()
+        old.send_signal(signal.SIGSTOP)
+        try:
+            _, ops = made.start()
+            assert made.client().ask(get("q1")) == b"v"
+            assert served(ops) == 1
+        finally:
+            old.send_signal(signal.SIGCONT)
+
+
+def test_the_list_comes_from_the_old_process_while_discovery_is_silent(tmp_path: Path) -> None:
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
+        old, _ = made.start()
+        assert made.client().ask(get("q1")) == b"v"
+        made.discovery.junk = http_answer(503)
+        _, ops = made.start()
+        made.end(old)
+        assert made.client().ask(get("q2")) == b"v"
+        assert (served(ops), figures(ops)["cluster_size"]) == (1, 1)
+
+
+def test_what_is_held_against_a_server_is_known_to_the_new_process(tmp_path: Path) -> None:
+    caches = {"up": Peer(lambda _, words: hit(b"v")), "dead": Peer(lambda _, words: hit(b"v"))}
+    with site(tmp_path, caches) as made:
+        caches["dead"].close()
+        old, ops = made.start()
+        client = made.client()
+
+        def found() -> bool:
+            for number in range(8):
+                client.ask(get(f"q{served(ops)}.{number}", f"k{number}"))
+            return figures(ops)["cluster_unhealthy"] == 1
+
+        eventually(found, "a server found dead")
+        _, ops = made.start()
+        made.end(old)
+        assert figures(ops)["cluster_unhealthy"] == 1
+
+
+def test_both_processes_hold_no_more_descriptors_than_one_may(tmp_path: Path) -> None:
+    limit = 160
+    caches = {f"s{i}": Peer(lambda _, words: hit(b"v")) for i in range(4)}
+    with site(tmp_path, caches, sockets=limit) as made:
+        old, _ = made.start()
+        crowd: list[Client] = []
+
+        def more() -> None:
+            for _ in range(60):
+                with contextlib.suppress(OSError):
+                    crowd.append(made.client())
+
+        more()
+        eventually(lambda: descriptors(old) > limit // 3, "a crowd at the old process")
+        most = descriptors(old)
+        new, ops = made.start()
+        more()
+        for _ in range(20):
+            most = max(most, descriptors(old) + descriptors(new))
+            assert made.client().ask(get(f"q{served(ops)}")) == b"v"
+        made.end(old)
+        more()
+        eventually(lambda: descriptors(new) > limit // 3, "a crowd at the new process")
+        assert max(most, descriptors(new)) <= limit
