--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -75,7 +75,7 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
-    daemon = Daemon(loop, config)
+    daemon = Daemon(loop, config, spent=time.process_time())
     if operator.many_keys is not None:
         daemon.read_many(operator.many_keys)
     terminated = asyncio.Event()
--- a/pebblepass/daemon/config.py
+++ b/pebblepass/daemon/config.py
@@ -42,6 +42,8 @@
     memory: int
     """Bytes; over this the router is killed."""
     sockets: int
+    cores: float
+    """The part of a core that it has, or how many."""
     ops: Address | None
     """Where operators call; None: nowhere."""
     inherited: int | None
@@ -78,6 +80,14 @@
     return int(value)
 
 
+def _cores(value: Any) -> float:
+    if value is None:
+        return 1.0
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
+        raise ValueError(f"limits.cores: expected a number above 0, got {value!r}")
+    return float(value)
+
+
 def _descriptor(text: str | None) -> int | None:
     if not text:
         return None
@@ -108,6 +118,7 @@
         idle_close=_positive("ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS),
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
+        cores=_cores(limits.get("cores")),
         ops=parse_address("ops", ops) if (ops := environ.get("LB_OPS") or told.get("ops")) else None,
         inherited=_descriptor(environ.get("LB_INHERITED_FD")),
         known=known,
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -27,6 +27,8 @@
     from pebblepass.operator import ManyKeysSection
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+START_SHARE = 0.4  # of the cores that it has, that the start may have taken when clients come
+MOST_SETTLING_S = 0.4
 ACCEPT_S = 0.5
 MIDWAY_S = 0.65
 KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
@@ -39,6 +41,11 @@
 log = logging.getLogger("pebblepass")
 
 
+def settling(spent: float, cores: float) -> float:
+    """Seconds until a start that took so many of CPU has had no more than its share of the time."""
+    return min(max(spent / (cores * START_SHARE) - spent, 0.0), MOST_SETTLING_S)
+
+
 class Daemon:
     """A router on a loop that it need not have for itself; the loop's time is its clock.
 
@@ -49,8 +56,13 @@
     """What carries out the module's actions; a rehearsal of a broken router puts another here."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, config: Config, unix_ns: Callable[[], int] = time.time_ns
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        unix_ns: Callable[[], int] = time.time_ns,
+        spent: float = 0.0,
     ) -> None:
+        """`spent`: the seconds of CPU that the start has taken so far."""
         self._loop, self._config = loop, config
         descriptors = max(config.sockets - OWN_DESCRIPTORS, 8)
         for_clients = int(descriptors * CLIENT_SHARE)
@@ -63,6 +75,7 @@
         self.clients = ClientServer(loop, self.host, served, int(config.memory * BUDGET_SHARE))
         clock = self._clock = Clock(self.host.now(), unix_ns())
         self._succession: Succession | None = None
+        self._settled_at = loop.time() + settling(spent, config.cores)
         self._discovery = Discovery(
             config.discovery, config.settings.must_subscribe, clock, self._take, self.host.discovery_failed
         )
@@ -118,10 +131,17 @@
         self._make_do()
 
     def _make_do(self) -> None:
-        if not self.host.ready:
-            self.host.ready = True
-            if self._succession is not None:
-                self._succession.ready()
+        if self.host.ready:
+            return
+        left = self._settled_at - self._loop.time() if self._succession is not None else 0.0
+        if left > 0:
+            # Danger: a start takes all of a part of a core at once, and the platform holds the process up for
+            # as long afterwards, with the clients that it has accepted. Here the old one serves meanwhile.
+            self._loop.call_later(left, self._make_do)
+            return
+        self.host.ready = True
+        if self._succession is not None:
+            self._succession.ready()
 
     def move_discovery(self, address: Address) -> None:
         """Follow the list at another address; the list held stays until that one has spoken."""
--- /dev/null
+++ b/tests/daemon/test_settling.py
@@ -0,0 +1,61 @@
+"""A process that comes beside another one is ready when the CPU of its start is paid, and not before."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from pebblepass.daemon.config import read_config
+from pebblepass.daemon.daemon import MOST_SETTLING_S, Daemon, settling
+from pebblepass.rehearsal.clock import VirtualLoop
+from tests.sockets import FACTS
+from tests.virtual import played
+
+TOLD: dict[str, Any] = {
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "settings": FACTS,
+    "limits": {"cores": 0.8},
+}
+
+
+class Beside:
+    """Notes when clients may come."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.ready_at: list[float] = []
+
+    def ready(self) -> None:
+        self.ready_at.append(self.loop.time())
+
+    def close(self) -> None:
+        pass
+
+
+def test_the_wait_grows_with_what_the_start_took_and_is_bounded() -> None:
+    assert settling(0.0, 0.8) == 0
+    assert settling(0.1, 0.8) == pytest.approx(0.1 / 0.32 - 0.1)
+    assert settling(0.1, 4.0) == 0
+    assert settling(5.0, 0.1) == MOST_SETTLING_S
+
+
+@pytest.mark.parametrize(("beside", "wait"), [(True, settling(0.1, 0.8)), (False, 0.0)])
+def test_only_a_process_that_has_another_beside_it_waits(beside: bool, wait: float) -> None:
+    async def work(loop: VirtualLoop) -> None:
+        daemon = Daemon(loop, read_config(TOLD, {}), loop.unix_ns, spent=0.1)
+        began, noted = loop.time(), Beside(loop)
+        if beside:
+            daemon._succession = cast(Any, noted)
+        daemon._make_do()
+        daemon._make_do()  # the next list may come first
+        assert daemon.host.ready == (not beside)
+        await asyncio.sleep(wait + 0.01)
+        assert daemon.host.ready
+        assert [at - began for at in noted.ready_at] == ([pytest.approx(wait, abs=0.002)] if beside else [])
+        daemon.stop()
+        await asyncio.sleep(0)
+
+    played(work)
