Hold long values that come without a length within the memory, until their clients take them

Need: values of 4 MiB, together far over the memory, read slowly. One that the store sends in chunks or to the end of its connection was gathered without a bound, and then lay in the client's write buffer. Seen in a test: 16 such values of 3 MiB held over 20 MB of 40 (test_long_values_without_a_length_..., seen to fail).

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -37,6 +37,7 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 CLIENT_SHARE = 0.6
 BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
+GATHER_SHARE = 0.15  # and for long values that come without a length
 
 log = logging.getLogger("pebblepass")
 
@@ -68,7 +69,8 @@
         for_clients = int(descriptors * CLIENT_SHARE)
         dial_timeout, idle_close = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
         reports = bool(config.settings.load_fields)
-        self._pool = Pool(loop, descriptors - for_clients, dial_timeout, idle_close, reports)
+        gather = int(config.memory * GATHER_SHARE)
+        self._pool = Pool(loop, descriptors - for_clients, dial_timeout, idle_close, reports, gather)
         self.host = self.host_class(loop, config.settings, config.seed, self._pool, config.max_open)
         # Those that are only refused need descriptors too: beyond the share servers would miss them.
         served = max(for_clients - REFUSERS, for_clients // 2)
--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -19,6 +19,8 @@
         HttpReader.__init__(self)
         self._body = bytearray()
         self._streaming = False
+        self._rest: memoryview | None = None  # of a long value that had to be gathered, for its client
+        self._paused = False
 
     def answer_came(self, data: bytes) -> None:
         """Read a part of the answer."""
@@ -32,15 +34,22 @@
 
     def eof_received(self) -> None:
         """Take the end of the origin's sending, which may be the end of an answer."""
-        if self.exchange is not None and self.ended():
+        if self.exchange is not None and self._rest is None and self.ended():
             self._take()
 
     def _take(self) -> None:
-        status, report = self.status, self.headers.get(b"server-load")
-        not_started = self.headers.get(b"not-started") == b"1"
+        if self.status == 200 and len(self._body) > LARGE and self.exchange is not None:
+            self._pass_on_gathered()
+            return
         value = None if self._streaming else bytes(self._body)
         self._streaming = False
         self._body.clear()
+        self._let_go()
+        self._end(value)
+
+    def _end(self, value: bytes | None) -> None:
+        status, report = self.status, self.headers.get(b"server-load")
+        not_started = self.headers.get(b"not-started") == b"1"
         self.retired = not self.answer_done() or self.retired
         if status == 200:
             self.finish(Outcome.OK, Answer(value, None, report))
@@ -65,6 +74,67 @@
             if self.exchange is not None:
                 self.exchange.value_came(data)
             return
+        before = len(self._body)
         self._body += data
         if len(self._body) > MAX_ANSWER:
             raise HttpError("value too long")
+        if len(self._body) > LARGE:
+            # Guards the memory: the client must be told a length first, so all of it has to be held here.
+            self.server.pool.gathered.take(self, len(self._body) - (before if before > LARGE else 0))
+
+    # A long value that came without a length: it is held until its client has taken it
+
+    def _pass_on_gathered(self) -> None:
+        assert self.exchange is not None
+        self._rest, self._paused = memoryview(bytes(self._body)), False
+        self._body.clear()
+        self.exchange.value_started(len(self._rest), self)
+        self._feed()
+
+    def _feed(self) -> None:
+        while self._rest and not self._paused and self.exchange is not None:
+            part, self._rest = self._rest[:LARGE], self._rest[LARGE:]
+            self.exchange.value_came(bytes(part))
+        if self._rest is not None and not self._rest:
+            self._let_go()
+            self._end(None)
+
+    def pause(self) -> None:
+        """Stop reading, or passing on what has been gathered."""
+        self._paused = True
+        if self._rest is None:
+            super().pause()
+
+    def resume(self) -> None:
+        """Go on."""
+        self._paused = False
+        if self._rest is None:
+            super().resume()
+        else:
+            self._feed()
+
+    def hold_back(self) -> None:
+        """Read no more for now: other values are being gathered."""
+        super().pause()
+
+    def go_on(self) -> None:
+        """Read again."""
+        super().resume()
+
+    def _let_go(self) -> None:
+        self._rest = None
+        self.server.pool.gathered.release(self)
+
+    def close(self) -> None:
+        """Break the connection; what has been gathered on it goes too."""
+        self._let_go()
+        super().close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection; a value that has come whole goes on to its client."""
+        if self._rest is not None and self.exchange is not None:
+            self.retired = True
+            self.server.pool.lost(self)
+            return
+        self._let_go()
+        super().connection_lost(exc)
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol, cast
 
+from pebblepass.daemon.gathered import GatherBudget
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
+from pebblepass.wire.resp import MAX_ANSWER
 
 PER_SERVER = 16
 IDLE_SHARE = 0.9  # of the time after which servers close idle connections; news of it may be under way
@@ -266,9 +268,14 @@
         dial_timeout: float,
         idle_close: float,
         reports: bool = True,
+        gather: int = 16 << 20,
     ) -> None:
-        """`reports`: servers give load reports, so that a refusal without one tells of something else."""
+        """`reports`: servers give load reports, so that a refusal without one tells of something else.
+
+        `gather`: bytes for long values that come without a length.
+        """
         self.reports = reports
+        self.gathered = GatherBudget(gather, MAX_ANSWER)
         self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -18,6 +18,7 @@
 
 from tests.sockets import (
     FACTS,
+    MISS,
     PATIENCE_S,
     ROOT,
     Client,
@@ -329,3 +330,40 @@
         names = (f"w{i}" for i in range(100_000))
         eventually(lambda: router.client().ask(get(next(names))) == b"new", "the new discovery's list")
     second.peer.close()
+
+
+def test_long_values_without_a_length_are_held_within_the_memory(tmp_path: Path) -> None:
+    value, count, limit = bytes(range(256)) * 4096 * 3, 16, 40
+    go_on = threading.Event()
+    go_on.set()
+
+    def store(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % len(value)
+        connection.sendall(head + value[:-1])
+        go_on.wait(PATIENCE_S)
+        return value[-1:] + b"\r\n0\r\n\r\n"
+
+    cache = Peer(lambda _, words: MISS)
+    origin = Peer(store, True)
+    limits = {"cores": 1.0, "memory_mb": limit, "sockets": 512}
+    with routed(tmp_path, {"s1": cache}, origin, limits=limits) as router:
+        assert router.client().ask(get("first", "first", d=60_000)) == value
+        before = router.memory_kb()
+        clients = [router.client() for _ in range(count)]
+        go_on.clear()
+        for number, client in enumerate(clients):
+            client.send(get(f"q{number}", f"k{number}", d=60_000))
+        eventually(lambda: len(origin.seen) > count, "all of them at the store")
+        samples = [before]
+
+        def at_rest() -> bool:
+            samples.append(router.memory_kb())
+            return len(samples) > 30 and len(set(samples[-20:])) == 1
+
+        eventually(at_rest, "an end of the growth")
+        go_on.set()
+        for client in clients:
+            assert client.answer() == value
+            samples.append(router.memory_kb())
+        most = max(samples)
+        assert (most - before) / 1024 < limit / 2 < count * len(value) / (1 << 20)
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -9,10 +9,12 @@
 from hypothesis import given, strategies
 
 from pebblepass.daemon.caches import CacheConnection
+from pebblepass.daemon.gathered import GatherBudget
 from pebblepass.daemon.origin import OriginConnection
-from pebblepass.daemon.upstream import Answer, Exchange, Server
+from pebblepass.daemon.upstream import Answer, Exchange, Server, ValueSource
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
+from pebblepass.wire.resp import MAX_ANSWER
 from tests.sockets import MISS, hit
 
 
@@ -41,12 +43,18 @@
 
 
 class OriginsPool(NoPool):
+    def __init__(self) -> None:
+        self.gathered = GatherBudget(8 << 20, MAX_ANSWER)
+
     def lost(self, connection: OriginConnection) -> None:
         pass
 
 
-class OriginsPlace(Place):
-    pool = OriginsPool()
+class OriginsPlace:
+    id = "s1"
+
+    def __init__(self) -> None:
+        self.pool = OriginsPool()
 
 
 class NoTransport(asyncio.Transport):
@@ -133,3 +141,53 @@
     assert at_the_origin(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall ") == [
         (Outcome.RESET, None, None, None)
     ]
+
+
+class Slow(Told):
+    """A client that takes one part, and then no more until it is asked to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.length, self.value = 0, b""
+        self.source: ValueSource | None = None
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        self.length, self.source = length, source
+
+    def value_came(self, data: bytes) -> None:
+        assert self.source is not None
+        self.value += data
+        self.source.pause()
+
+
+LONG_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+LONG = bytes(range(256)) * 1024  # 256 KiB, four parts
+
+
+def test_a_long_value_without_a_length_waits_for_its_client_beyond_the_connections_end() -> None:
+    place, exchange = OriginsPlace(), Slow()
+    connection = OriginConnection(cast(Server, place))
+    connection.exchange, exchange.connection = exchange, connection
+    connection.data_received(LONG_HEAD + LONG[:100_000])
+    connection.data_received(LONG[100_000:])
+    assert place.pool.gathered.held == len(LONG)
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert (exchange.length, exchange.value, exchange.seen) == (len(LONG), LONG[: 64 << 10], [])
+    assert exchange.source is not None
+    while not exchange.seen:
+        exchange.source.resume()
+    assert exchange.value == LONG
+    assert exchange.seen == [(Outcome.OK, None, None, None)]
+    assert place.pool.gathered.held == 0
+
+
+def test_what_has_been_gathered_goes_with_a_client_that_leaves() -> None:
+    place, exchange = OriginsPlace(), Slow()
+    connection = OriginConnection(cast(Server, place))
+    connection.exchange, exchange.connection = exchange, connection
+    connection.data_received(LONG_HEAD + LONG)
+    connection.eof_received()
+    exchange.give_up(Outcome.CANCELLED)
+    assert exchange.seen == [(Outcome.CANCELLED, None, None, None)]
+    assert place.pool.gathered.held == 0
