--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -135,10 +135,10 @@
     def _make_do(self) -> None:
         if self.host.ready:
             return
-        left = self._settled_at - self._loop.time() if self._succession is not None else 0.0
+        left = self._settled_at - self._loop.time()
         if left > 0:
             # Danger: a start takes all of a part of a core at once, and the platform holds the process up for
-            # as long afterwards, with the clients that it has accepted. Here the old one serves meanwhile.
+            # as long afterwards, with the clients that it has accepted.
             self._loop.call_later(left, self._make_do)
             return
         self.host.ready = True
--- a/tests/daemon/test_settling.py
+++ b/tests/daemon/test_settling.py
@@ -1,4 +1,4 @@
-"""A process that comes beside another one is ready when the CPU of its start is paid, and not before."""
+"""A process is ready when the CPU of its start is paid, and not before."""
 
 from __future__ import annotations
 
@@ -42,19 +42,18 @@
     assert settling(5.0, 0.1) == MOST_SETTLING_S
 
 
-@pytest.mark.parametrize(("beside", "wait"), [(True, settling(0.1, 0.8)), (False, 0.0)])
-def test_only_a_process_that_has_another_beside_it_waits(beside: bool, wait: float) -> None:
+@pytest.mark.parametrize("spent", [0.0, 0.1])
+def test_it_is_ready_once_its_start_is_paid_and_tells_so_once(spent: float) -> None:
     async def work(loop: VirtualLoop) -> None:
-        daemon = Daemon(loop, read_config(TOLD, {}), loop.unix_ns, spent=0.1)
-        began, noted = loop.time(), Beside(loop)
-        if beside:
-            daemon._succession = cast(Any, noted)
+        daemon = Daemon(loop, read_config(TOLD, {}), loop.unix_ns, spent=spent)
+        began, noted, wait = loop.time(), Beside(loop), settling(spent, 0.8)
+        daemon._succession = cast(Any, noted)
         daemon._make_do()
         daemon._make_do()  # the next list may come first
-        assert daemon.host.ready == (not beside)
+        assert daemon.host.ready == (not spent)
         await asyncio.sleep(wait + 0.01)
         assert daemon.host.ready
-        assert [at - began for at in noted.ready_at] == ([pytest.approx(wait, abs=0.002)] if beside else [])
+        assert [at - began for at in noted.ready_at] == [pytest.approx(wait, abs=0.002)]
         daemon.stop()
         await asyncio.sleep(0)
 
