--- /dev/null
+++ b/pebblepass/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may stay when places for clients' connections run out."""
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from pebblepass.admission.places import Standing, makes_room
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.handover.messages import MOST_HELD, Handed
 from pebblepass.wire.address import Address
@@ -26,7 +27,7 @@
 COMMAND_S = 2.0  # in which a command must be whole; with a sweep's wait well within the 3 s of DAYS
 STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.5
-REFUSERS = 32
+REFUSERS, REFUSERS_SHARE = 32, 0.125  # places for those that are refused, and of all at most
 
 log = logging.getLogger("pebblepass")
 
@@ -332,6 +333,15 @@
         """Whether it stands between requests."""
         return not self.replies and not self._reader.need
 
+    @property
+    def standing(self) -> Standing:
+        """Where it stands, for whoever looks for a place."""
+        if self.replies or self.given:
+            return Standing.BUSY
+        if self._reader.need:
+            return Standing.MIDWAY
+        return Standing.BETWEEN if self._spoken else Standing.NEW
+
     def finish(self, even_midway: bool) -> None:
         """Close once nothing is open; `even_midway`: also in the midst of a command."""
         if self.transport is None or self.closed:
@@ -448,8 +458,11 @@
 class ClientServer:
     """The listener and all clients' connections, within their share of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int) -> None:
-        self.loop, self.host, self._limit = loop, host, limit
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int, refusers: int = REFUSERS
+    ) -> None:
+        """`limit` connections are served; `refusers` more are told that they are not."""
+        self.loop, self.host, self._limit, self._refusers = loop, host, limit, refusers
         self.many: ManyReads | None = None
         self.greeted = 0
         """Connections on which a client has said something beside requests."""
@@ -493,14 +506,11 @@
     def opened(self, connection: ClientConnection) -> None:
         """Take a new connection in, within the limit."""
         if len(self._connections) >= self._limit:
-            idle = min(
-                (other for other in self._connections if other.idle),
-                key=lambda other: other.used_at,
-                default=None,
-            )
-            if idle is not None:
-                idle.abort()
-            elif len(self._connections) < self._limit + REFUSERS:
+            now = self.loop.time()
+            goes = makes_room((held, held.standing, now - held.used_at) for held in self._connections)
+            if goes is not None:
+                goes.abort()
+            elif len(self._connections) < self._limit + self._refusers:
                 connection.refusing = True
             else:
                 connection.abort()
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from pebblepass.control.operations import ControlAddress, Told
-from pebblepass.daemon.clients import REFUSERS, ClientServer
+from pebblepass.daemon.clients import REFUSERS, REFUSERS_SHARE, ClientServer
 from pebblepass.daemon.config import Config, ConfigError, reload_discovery
 from pebblepass.daemon.inherited import adopt
 from pebblepass.daemon.router import RouterHost
@@ -72,9 +72,11 @@
         gather = int(config.memory * GATHER_SHARE)
         self._pool = Pool(loop, descriptors - for_clients, dial_timeout, idle_close, reports, gather)
         self.host = self.host_class(loop, config.settings, config.seed, self._pool, config.max_open)
-        # Those that are only refused need descriptors too: beyond the share servers would miss them.
-        served = max(for_clients - REFUSERS, for_clients // 2)
-        self.clients = ClientServer(loop, self.host, served, int(config.memory * BUDGET_SHARE))
+        # Those that are only refused need descriptors too: beyond the share servers would miss them. Few
+        # where there are few: a place that only refuses serves nobody.
+        refusers = min(REFUSERS, int(for_clients * REFUSERS_SHARE))
+        budget = int(config.memory * BUDGET_SHARE)
+        self.clients = ClientServer(loop, self.host, for_clients - refusers, budget, refusers)
         clock = self._clock = Clock(self.host.now(), unix_ns())
         self._succession: Succession | None = None
         self._settled_at = loop.time() + settling(spent, config.cores)
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the room of the same name."""
