--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -12,13 +12,13 @@
 
 from pebblepass.admission.places import Standing, makes_room
 from pebblepass.daemon.upstream import ValueSource
-from pebblepass.handover.messages import MOST_HELD, Handed
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
 
 if TYPE_CHECKING:
     from pebblepass.daemon.greetings import Greeted
     from pebblepass.daemon.many import ManyReads
+    from pebblepass.handover.messages import Handed
 
 BACKLOG = 1024
 MAX_PIPELINE = 256
@@ -367,6 +367,9 @@
         )
         if self.transport is None or self.transport.is_closing() or unfit or self.replies:
             return
+        # Loaded with the first hand-over: where there never is one it costs nothing.
+        from pebblepass.handover.messages import MOST_HELD
+
         if self.server.give is None or self._reader.held_bytes > MOST_HELD:
             return
         # Danger: answers that the kernel has not taken are lost with this process.
@@ -387,6 +390,8 @@
 
     def handed(self) -> Handed:
         """What goes with it."""
+        from pebblepass.handover.messages import Handed
+
         begun = max(int((self.server.loop.time() - self._begun_at) * 1000), 0)
         greeted = self.greeted
         told = (greeted.protocol, greeted.name, greeted.number) if greeted is not None else (0, b"", 0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,15 @@
 from pebblepass import __version__
 from tests.sockets import FACTS, PATIENCE_S, ROOT, Peer, eventually, hit, routed
 
-TOOLS = ("click", "rich", "msgspec", "pebblepass.operator", "pebblepass.rehearsal", "pebblepass.standins")
+TOOLS = (
+    "click",
+    "rich",
+    "msgspec",
+    "pebblepass.operator",
+    "pebblepass.rehearsal",
+    "pebblepass.standins",
+    "pebblepass.handover",
+)
 
 
 def command(*words: str, **environ: str) -> subprocess.CompletedProcess[str]:
