--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -294,6 +294,8 @@
     usual: float
     """The smoothed time of its answers, in nanoseconds; 0: not known."""
     spread: float
+    sampled: float
+    """How much of that comes from answers, from 0 to 1; the rest from 0, where it began."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -31,6 +31,7 @@
 CUT, RISE_S = 0.7, 15.0
 EASE_SHARE = 0.05  # declined of the calls that the origin had
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
+APART = 0.4  # by how much routers differ in what they think of a hot slot's owners
 HEAT_TOLD = 256  # slots that another router is told of
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
@@ -56,12 +57,21 @@
 
     def __init__(self, usual: float = 0.0) -> None:
         self.usual = self.spread = usual
+        self.sampled = 0.0  # how much of it comes from answers, the rest from where it began
 
     def learn(self, latency: int) -> None:
         """Take one answer's time into account."""
         off = latency - self.usual
         self.usual += off / 16
         self.spread += (abs(off) - self.spread) / 16
+        self.sampled += (1 - self.sampled) / 16
+
+    def expected(self, others: float) -> float:
+        """The time to expect where this one began at 0: for what no answer has told, that of `others`.
+
+        Danger: by its own few answers alone a server that has just come would look quicker than any.
+        """
+        return self.usual + (1 - self.sampled) * others
 
 
 class Node:
@@ -141,6 +151,7 @@
             self._room_at,
             self.pace.usual,
             self.pace.spread,
+            self.pace.sampled,
         )
 
     def learn(self, known: api.NodeKnown) -> None:
@@ -152,6 +163,7 @@
         self._chance, self._judged_at, self._regain = known.chance, known.judged_at, known.regain
         self._crowded, self._room_at = known.crowded, known.room_at
         self.pace.usual, self.pace.spread = known.usual * known.weight, known.spread * known.weight
+        self.pace.sampled = known.sampled * known.weight
 
 
 class SlotTable:
@@ -633,9 +645,14 @@
         ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
         return [*sorted(ranking[:owners], key=self._draw), *ranking[owners:]] if owners > 1 else ranking
 
-    def _draw(self, node: Node) -> tuple[float, float]:
+    def _draw(self, node: Node) -> float:
+        """The time that a further request is likely to take there, with a draw that keeps routers apart.
+
+        The own requests out tell nothing of a server's speed, nor of other routers' load on it: its times do.
+        """
         weight = node.weight * self._caches.warmth(node, self._now)
-        return node.load / weight, self._rng.expovariate(1.0) / weight
+        expected = node.pace.expected(self._answers.usual)
+        return (node.load + 1) * expected / weight * self._rng.uniform(1 - APART, 1.0)
 
     def _missed(self, request: Request) -> None:
         flight = None if request.key is None else self._flights.get(request.key)
--- a/pebblepass/handover/messages.py
+++ b/pebblepass/handover/messages.py
@@ -15,7 +15,7 @@
 
 from pebblepass.decisions.interface import Knowledge, LimitKnown, NodeKnown, StoreKnown
 
-VERSION = 1
+VERSION = 1  # of the messages and of what is told; another one is refused
 MOST_BYTES = 48 << 10  # of one message: far under what a socket's buffer takes
 MOST_TOLD = 4 << 20
 MOST_CROWDED = 8
@@ -178,6 +178,7 @@
                 node.room_at - now,
                 node.usual,
                 node.spread,
+                node.sampled,
             ]
             for node in known.nodes
         ],
@@ -215,8 +216,28 @@
             raise HandoverError(f"an account of version {told['version']}")
         nodes = []
         for row in told["nodes"]:
-            server, start, heard, chance, judged, regain, down, unheard, crowded, room, usual, spread = row
-            if not -1 <= chance <= 1 or _count(regain) < 1 or usual < 0 or spread < 0:
+            (
+                server,
+                start,
+                heard,
+                chance,
+                judged,
+                regain,
+                down,
+                unheard,
+                crowded,
+                room,
+                usual,
+                spread,
+                sampled,
+            ) = row
+            if (
+                not -1 <= chance <= 1
+                or _count(regain) < 1
+                or usual < 0
+                or spread < 0
+                or not 0 <= sampled <= 1
+            ):
                 raise ValueError(f"{server}: out of range")
             node = NodeKnown(
                 str(server),
@@ -232,6 +253,7 @@
                 now + int(room),
                 float(usual),
                 float(spread),
+                float(sampled),
             )
             nodes.append(node)
         limits = []
--- a/tests/handover/test_messages.py
+++ b/tests/handover/test_messages.py
@@ -81,7 +81,7 @@
 
 def node(server: str = "s1", heard_at: int = NOW, down: bool = False, judged_at: int = NOW) -> NodeKnown:
     regain = 60 * S if down else 8 * S
-    return NodeKnown(server, 0, heard_at, 1.0, 0.05, judged_at, regain, down, 1, 0, 0, 2e6, 1e6)
+    return NodeKnown(server, 0, heard_at, 1.0, 0.05, judged_at, regain, down, 1, 0, 0, 2e6, 1e6, 0.5)
 
 
 def knowledge(*nodes: NodeKnown, calls: tuple[tuple[int, int, int], ...] = ((NOW, 3, 1),)) -> Knowledge:
@@ -92,7 +92,7 @@
 def test_an_account_comes_out_in_the_readers_time_and_in_parts_of_any_number() -> None:
     began = 90 * S
     donor = node("s1").__class__(
-        "s1", began, NOW - S, 1.0, 0.05, NOW - S, 8 * S, False, 1, 2, NOW + S, 2e6, 1e6
+        "s1", began, NOW - S, 1.0, 0.05, NOW - S, 8 * S, False, 1, 2, NOW + S, 2e6, 1e6, 0.5
     )
     nodes = (donor, *(node(f"n{i}" * 40) for i in range(400)))
     told = Account({"generation": 4, "instances": []}, knowledge(*nodes), NOW)
