Shrink the clients' share without closing those that have come just now

Cause, seen in a fresh clone's test run: a client that had just connected was reset when the new process's share shrank (ClientServer.limit closed the idle, oldest first, with those whose request stood unread). Change: who goes is decided as in a crowd (admission/places.py). The test of refused connections counts on the smaller number of places that only refuse. Test: test_both_processes_hold_no_more_descriptors_than_one_may, six runs of the room's tests.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -488,9 +488,13 @@
     @limit.setter
     def limit(self, limit: int) -> None:
         self._limit = limit
-        idle = sorted((held for held in self._connections if held.idle), key=lambda held: held.used_at)
-        for connection in idle[: max(len(self._connections) - limit, 0)]:
-            connection.abort()
+        while len(self._connections) > limit and (goes := self._goes()) is not None:
+            goes.abort()
+
+    def _goes(self) -> ClientConnection | None:
+        """Who makes room; never one that has come or written just now."""
+        now = self.loop.time()
+        return makes_room((held, held.standing, now - held.used_at) for held in self._connections)
 
     async def adopt(self, sock: socket.socket, handed: Handed) -> None:
         """Go on with a connection of another process."""
@@ -511,8 +515,7 @@
     def opened(self, connection: ClientConnection) -> None:
         """Take a new connection in, within the limit."""
         if len(self._connections) >= self._limit:
-            now = self.loop.time()
-            goes = makes_room((held, held.standing, now - held.used_at) for held in self._connections)
+            goes = self._goes()
             if goes is not None:
                 goes.abort()
             elif len(self._connections) < self._limit + self._refusers:
