--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -259,7 +259,7 @@
         more()
         eventually(lambda: descriptors(old) > limit // 3, "a crowd at the old process")
         most = descriptors(old)
-        new, ops = made.start()
+        new, _ = made.start()
         more()
         for _ in range(20):
             most = max(most, descriptors(old) + descriptors(new))
