Let the tests of Ctrl-C give their child SIGINT's default, so that they pass in the background

Seen: started in the background of a shell, where SIGINT is ignored and the children inherit that, test_ctrl_c_stops_at_once_and_prints_what_it_has and test_ctrl_c_in_real_time_leaves_no_process wait for their child in vain. Checked: with SIGINT ignored both fail (87 s), in the foreground both pass; the command itself is not at fault, a shell's background job is meant to ignore Ctrl-C. The lines at fault are in tests/rehearsal/test_rehearsal.py, command().

Change: the child is started with SIGINT's default.

--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -92,12 +92,14 @@
 
 
 def command(*words: str, **environ: str) -> subprocess.Popen[bytes]:
+    # A shell's background job ignores SIGINT, and its children inherit that: here it is taken as from a terminal.
     return subprocess.Popen(
         [sys.executable, "-m", "pebblepass.cli", "rehearse", *words],
         cwd=ROOT,
         env={**os.environ, **environ},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
     )
 
 
