--- a/pebblepass/figures/snapshot.py
+++ b/pebblepass/figures/snapshot.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from pebblepass.durable.disk import Folder, replace_whole
+
 FORMAT, VERSION = "pebblepass-figures", 1
 
 
@@ -116,9 +117,4 @@
 
 def write(path: Path, data: bytes) -> None:
     """Write a file so that a reader sees the old or the new one, never a part; raises OSError."""
-    fresh = path.with_name(path.name + ".new")
-    with fresh.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    fresh.replace(path)
+    replace_whole(Folder(path.parent), path.name, data)
--- /dev/null
+++ b/pebblepass/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials: routers that fail together. Schedules on a virtual clock, every order, processes, and checkers."""
--- a/tests/rehearsal/test_rehearsal.py
+++ b/tests/rehearsal/test_rehearsal.py
@@ -92,7 +92,7 @@
 
 
 def command(*words: str, **environ: str) -> subprocess.Popen[bytes]:
-    # A shell's background job ignores SIGINT, and its children inherit that: here it is taken as from a terminal.
+    # A shell's background job ignores SIGINT, and its children inherit that: here it is taken as usual.
     return subprocess.Popen(
         [sys.executable, "-m", "pebblepass.cli", "rehearse", *words],
         cwd=ROOT,
