Tell the decisions which policy a fleet holds, and until when: from then on the floor holds

Need: a policy that all routers hold alike has to end by itself where a router can't tell any more whether it is in force, also in a process that was stopped and wakes up (issue: change of policy). A timer can't do that: it runs after the events that were waiting. The limits, portions and servers are the module's.

Change: the event PolicyChanged: a version, what it says, and a time of the clock. The module looks at the clock before each event, one comparison with infinity where there is no fleet; once the time has come the floor holds, a share of the quotas in the settings. What was tuned before comes back with the lease, as its loss is no sign of the origin's. Servers held out leave the slot table and come back with a later policy; the origin is never held out.

Nothing changes without the event.

--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -326,9 +326,44 @@
     knowledge: Knowledge
 
 
+class NamespaceHeld(Struct, frozen=True):
+    """What a policy says of one namespace; None: as in the settings."""
+
+    name: str
+    portion: float | None
+    quota_per_s: float | None
+
+
+class PolicyHeld(Struct, frozen=True):
+    """A version of the policy that all routers of a fleet hold alike; None: as in the settings."""
+
+    version: int
+    namespaces: tuple[NamespaceHeld, ...]
+    rate_per_s: float | None
+    """Fetches a second of all routers, shared by portion."""
+    hard_factor: float
+    """The hard limit, as a multiple of the soft one."""
+    window_s: float | None
+    held_out: tuple[str, ...]
+    """Servers that get nothing new."""
+    floor_share: float
+    """Of a quota in the settings: what a router holds that can't tell which version is in force."""
+
+
+class PolicyChanged(Struct, frozen=True):
+    """The version decided, and until when (clock time) this router may admit under it.
+
+    From then on, and from the start where `until` is past, it admits what the floor lets through.
+    """
+
+    policy: PolicyHeld
+    until: int
+
+
 Event = (
     ServersChanged
     | KnowledgeGained
+    | PolicyChanged
     | RequestArrived
     | KeysArrived
     | KeysServed
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -299,10 +299,31 @@
         self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
         self._calls: deque[tuple[int, bool]] = deque()
         self.declined = 0
+        self.hard_factor = HARD_LIMIT_FACTOR
+        self._stated = self.portion, self.cap, self.window_s
+        self._tuned: float | None = None  # the limit before the floor, while that holds
         self._rng = rng
         self._chance, self._chance_until = 1.0, 0
         self._last_rise = 0
 
+    def hold(self, policy: api.PolicyHeld, told: api.NamespaceHeld | None, routers: int, floor: bool) -> None:
+        """Take a policy over, or, for a router that can't tell whether it still is in force, the floor."""
+        portion, cap, window_s = self._stated
+        if told is not None:
+            portion = portion if told.portion is None else told.portion
+            cap = cap if told.quota_per_s is None else told.quota_per_s / routers
+        if policy.rate_per_s is not None:
+            cap = min(cap, policy.rate_per_s * portion / routers)
+        if floor:
+            cap = min(cap, self._stated[1] * policy.floor_share)
+        self.portion, self.cap, self.hard_factor = portion, cap, policy.hard_factor
+        self.window_s = window_s if policy.window_s is None else policy.window_s
+        self.floor = min(1 / self.window_s, cap)
+        # What was tuned before the floor holds again after it: it was no sign of the origin's.
+        tuned = self.limit if self._tuned is None else self._tuned
+        self.limit, self._tuned = min(tuned, cap), tuned if floor else None
+        self._chance_until = 0
+
     def count(self, now: int, declined: bool = False) -> None:
         """Count one call to the origin."""
         self._calls.append((now, declined))
@@ -333,7 +354,7 @@
     def admit(self, now: int) -> bool:
         """Decide on one fetch, and count it."""
         accepted, soft = self.accepted(now), self.window_s * self.limit
-        over = len(self._calls) >= soft * HARD_LIMIT_FACTOR
+        over = len(self._calls) >= soft * self.hard_factor
         allowed = not (over and accepted >= soft)
         if allowed and self._calls and (over or accepted >= soft):
             # Departure: refusals alone that hold total at the hard limit would pin a tenant there, as
@@ -487,12 +508,17 @@
         self._odds = Odds()  # of the caches' answers
         self._asking, self._failed_calls = False, 0
         self._lag = 0  # how late this router's own loop runs
+        self._policy: api.PolicyHeld | None = None
+        self._policy_until = math.inf  # when it can't be told any more whether the policy is in force
+        self._held_out: dict[str, api.Server] = {}  # ready, and to get nothing new by the policy
         self._now = 0
         self._actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now: int) -> list[api.Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
         self._now, self._actions = now, []
+        if now >= self._policy_until:  # by the clock at each event: a process may have been stopped for long
+            self._hold_policy(floor=True)
         match event:
             case api.AttemptEnded():
                 self._attempt_ended(event)
@@ -510,6 +536,8 @@
                 self._lag = event.lag
             case api.KnowledgeGained():
                 self._learn(event.knowledge)
+            case api.PolicyChanged():
+                self._change_policy(event)
             case api.AttemptSlow() if event.request in self._requests:
                 self._send_twin(self._requests[event.request])
             case api.ClientGone() if event.request in self._requests:
@@ -522,7 +550,13 @@
 
     def listed(self) -> list[api.Server]:
         """The ready servers, the origin among them, as they were listed last."""
-        return [node.entry for table in (self._caches, self._origins) for node in table.nodes.values()]
+        held = [node.entry for table in (self._caches, self._origins) for node in table.nodes.values()]
+        return [*held, *self._held_out.values()]
+
+    def version(self) -> int:
+        """The policy's version that fetches are admitted under; 0: none, or the floor."""
+        at_floor = self._policy is None or self._policy_until == math.inf
+        return 0 if at_floor or self._policy is None else self._policy.version
 
     def knowledge(self, now: int) -> api.Knowledge:
         """What this router has learned, for one that begins beside it."""
@@ -574,12 +608,47 @@
         if event.kind is ListKind.FAILED:
             return
         ready = [entry for entry in event.servers if entry.state is ServerState.READY]
+        if self._policy is not None and self._policy.held_out:
+            ready = self._without_held(ready, event)
         left = [entry.id for entry in event.servers if entry.state is not ServerState.READY]
         for table, is_origin in ((self._caches, False), (self._origins, True)):
             mine = [e for e in ready if (e.kind == self._settings.origin_kind) == is_origin]
             unlisted = table.nodes.keys() - {e.id for e in mine} if event.kind is not ListKind.DELTA else ()
             table.update(mine, [*left, *unlisted])
 
+    def _change_policy(self, event: api.PolicyChanged) -> None:
+        same = self._policy == event.policy and self._policy_until != math.inf
+        before = self._policy.held_out if self._policy is not None else ()
+        self._policy = event.policy
+        if self._now >= event.until:
+            self._hold_policy(floor=True)
+        else:
+            self._policy_until = event.until
+            if not same:
+                self._hold_policy(floor=False)
+        if before != event.policy.held_out:
+            entries = self.listed()
+            self._held_out.clear()
+            self._servers_changed(api.ServersChanged(ListKind.FULL, tuple(entries)))
+
+    def _hold_policy(self, floor: bool) -> None:
+        if floor:
+            self._policy_until = math.inf
+        if self._policy is not None:
+            told = {each.name: each for each in self._policy.namespaces}
+            for name, guard in self._guards.items():
+                guard.hold(self._policy, told.get(name), self._settings.routers, floor)
+
+    def _without_held(self, ready: list[api.Server], event: api.ServersChanged) -> list[api.Server]:
+        out = self._policy.held_out if self._policy is not None else ()
+        if event.kind is not ListKind.DELTA:
+            self._held_out.clear()
+        for entry in event.servers:
+            self._held_out.pop(entry.id, None)
+        # The origin is never held out: nothing could be served without it.
+        self._held_out |= {e.id: e for e in ready if e.id in out and e.kind != self._settings.origin_kind}
+        return [entry for entry in ready if entry.id not in self._held_out]
+
     def _keep_subscribed(self, kind: ListKind) -> None:
         """Subscribe at the start and after every failure; jitter and back-off spare discovery."""
         if kind not in (ListKind.CACHED, ListKind.FAILED):
