Decide a change of policy once, and let nobody admit under an older version after it

Need: nothing that routers must hold alike was agreed between them (issue: change of policy). Options weighed in docs/design/agreement.md: commit by all hangs with one router down; a log brings a leader, whose leases end with it; taken: one register with ballots a version, and leases from a quorum of the voters.

Change: agreement/ without I/O or clock: voting (promises told once they last), leases (a voter grants one version at a time, the next one once the older is closed), the change under way with its table of states, the member that joins them, policies with schema, check and difference. peers/view.py: who is alive. trials/: schedules on a virtual clock over the same rules and files, checkers that read histories only.

Causes that the schedules found on the way, each mended: a change's id used twice; a verdict 'refused' for what a router that had missed a version could not know; a fleet that could not form once a disk was lost between acceptance and decision; an older disk told from the next start only by its run; a start that was told before it lasted; a late message of the run before taken for the present one's.

--- /dev/null
+++ b/pebblepass/trials/history.py
@@ -0,0 +1,49 @@
+"""What happened in a trial: the one thing that checkers read. Times are the machine's, in nanoseconds."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One line of a history."""
+
+    at: int
+    router: str
+    what: str
+    """admit, floor, decided, promised, accepted, proposed, verdict, started, fault, note."""
+    version: int = 0
+    change: str = ""
+    told: str = ""
+    """The state of a verdict, the digest of what was decided, the kind of a fault."""
+    ballot: tuple[int, str] | None = None
+    disk: str = ""
+    """The incarnation of the disk that promised."""
+
+
+def write_history(path: Path, events: Iterable[Event]) -> None:
+    """Write a history, a line an event."""
+    encode = msgspec.json.encode
+    path.write_bytes(b"".join(encode(event) + b"\n" for event in events))
+
+
+def read_history(paths: Iterable[Path]) -> list[Event]:
+    """The events of several files by their time; a last line that is torn by a kill is left out."""
+    found: list[Event] = []
+    for path in paths:
+        for line in path.read_bytes().splitlines():
+            try:
+                found.append(msgspec.json.decode(line, type=Event))
+            except msgspec.DecodeError:
+                break
+    return sorted(found, key=lambda event: event.at)
+
+
+def as_dict(event: Event) -> dict[str, Any]:
+    """For a report."""
+    told: dict[str, Any] = msgspec.to_builtins(event)
+    return told
--- /dev/null
+++ b/pebblepass/trials/scenarios.py
@@ -0,0 +1,45 @@
+"""The schedules that ship, by name."""
+
+from __future__ import annotations
+
+from pebblepass.trials.schedule import Plan
+
+SCENARIOS: dict[str, tuple[str, Plan]] = {
+    "policy": ("seven routers; kills, pauses and cuts while the policy changes", Plan()),
+    "lost-disks": ("two of seven come back with an empty disk", Plan(empty_disks=2, kills=2)),
+    "old-disks": ("two of seven come back with an older copy of their disk", Plan(old_disks=2, kills=2)),
+    "voters": ("other voters, an empty disk", Plan(member_changes=True, kills=2, empty_disks=1)),
+    "three": ("three voters and a router that does not vote", Plan(4, 3, kills=3, cuts=3, changes=6)),
+    "fierce": ("everything at once", Plan(kills=8, cuts=5, pauses=5, losses=0.15, changes=8)),
+    "steps": (
+        "routers killed right after a promise, an acceptance or a decision",
+        Plan(4, 3, trips=0.05, kills=0, changes=6, quick=True),
+    ),
+    "blackouts": (
+        "more than half killed in one moment, four times",
+        Plan(kills=0, blackouts=4, quick=True, cuts=4),
+    ),
+    "rivals": (
+        "voters and policy changed at the same time, down to one voter",
+        Plan(
+            5,
+            5,
+            10.0,
+            member_changes=True,
+            least_voters=1,
+            trips=0.02,
+            changes=8,
+            kills=0,
+            quick=True,
+            cuts=5,
+        ),
+    ),
+    "frail": (
+        "three routers, an empty disk, and kills at every step",
+        Plan(3, 3, trips=0.03, empty_disks=1, changes=8, quick=True, cuts=4),
+    ),
+    "large": (
+        "two hundred routers, seven of them voters, leases of 3 s",
+        Plan(200, 7, 16.0, 3.0, changes=3, kills=10, pauses=4, admissions_per_s=2.0, quiet_s=6.0),
+    ),
+}
--- /dev/null
+++ b/tests/agreement/test_member.py
@@ -0,0 +1,131 @@
+"""The rules of one voter: what is promised when, and a log that stays bounded."""
+
+from __future__ import annotations
+
+from pebblepass.agreement import messages as m
+from pebblepass.agreement.leases import Granter, Holder, Terms
+from pebblepass.agreement.member import Action, Conclude, InForce, Member, Send, Setup, Write, genesis
+from pebblepass.agreement.policy import Policy, StorePolicy
+from pebblepass.durable.frames import Head
+from pebblepass.durable.log import COMPACT_BYTES, Log
+from pebblepass.trials.disk import PowerDisk
+
+SECOND = 1_000_000_000
+TERMS = Terms(SECOND, 0.1)
+HEAD = Head("test", 1, "f/r0")
+
+
+def setup(*voters: str) -> Setup:
+    first = genesis(dict.fromkeys(voters, "x:1"), voters)
+    return Setup("r0", "boot", TERMS, first, lambda before, after: "", "r0.disk")
+
+
+def voter(now: int = 0) -> tuple[Member, list[Action]]:
+    member = Member(setup("r0"), None, now)
+    return member, member.start(now)
+
+
+def test_nothing_is_promised_before_it_lasts() -> None:
+    made = setup("r0", "r1", "r2")
+    fleet = m.Fleet(dict.fromkeys(("r0", "r1", "r2"), "x:1"), {n: f"{n}.disk" for n in ("r0", "r1", "r2")})
+    decided = m.Value(1, "form", "form", Policy(), fleet, {})
+    member = Member(made, [m.Whole("r0.disk", 1, decided, None, None, None, {}, (), 0, ())], 0)
+    writes = [each for each in member.start(0) if isinstance(each, Write)]
+    sender = m.Sender("r1", "b", "r1.disk", 1, 1, 1, 0, 0, 1, True)
+    early = member.received(m.Message(sender, m.Prepare(2, (1, "r1.b"))), 1)
+    assert member.acceptor.promised == (0, "")  # nobody knows this start yet
+    writes += [each for each in early if isinstance(each, Write)]
+    member.written(writes[-1].token, 2)
+    member.received(m.Message(sender, m.Welcome("boot")), 3)
+    actions = member.received(m.Message(sender, m.Prepare(2, (1, "r1.b"))), 4)
+    assert not any(isinstance(each, Send) and isinstance(each.message.body, m.Promise) for each in actions)
+    write = next(
+        each for each in actions if isinstance(each, Write) and isinstance(each.records[0], m.Promised)
+    )
+    actions = member.written(write.token, 5)
+    assert any(isinstance(each, Send) and isinstance(each.message.body, m.Promise) for each in actions)
+    # A lower round is rejected, at once and whatever the disk does.
+    told = member.received(m.Message(sender, m.Prepare(2, (0, "r2.b"))), 6)
+    rejected = [
+        e.message.body for e in told if isinstance(e, Send) and isinstance(e.message.body, m.Rejected)
+    ]
+    assert [each.promised for each in rejected] == [1]
+
+
+def test_a_lease_ends_at_its_holder_before_it_does_at_its_voter_whatever_their_clocks_do() -> None:
+    for fast in (0.95, 1.0, 1.05):
+        holder, granter = Holder(TERMS), Granter(TERMS, 0, restarted=False)
+        holder.begin(1)
+        seq = holder.ask(int(100 * SECOND * fast))
+        granter.asked("r1", "b", seq, 1, 100 * SECOND)
+        assert granter.grant(1, 100 * SECOND) == [("r1", "b", seq)]
+        holder.granted("r0", seq, 1)
+        end = holder.until({"r0": ""}, 1) / fast
+        assert not granter.clear_of(1, int(end))
+        assert granter.clear_of(1, int(101.2 * SECOND))
+
+
+def test_an_old_question_takes_nothing_back_and_a_newer_version_lets_go() -> None:
+    granter = Granter(TERMS, 0, restarted=False)
+    assert granter.asked("r1", "b", 5, 1, 0)
+    granter.grant(1, 0)
+    assert not granter.asked("r1", "b", 4, 2, 0)
+    assert not granter.clear_of(1, 1)
+    assert granter.asked("r1", "b", 6, 2, 1)
+    assert granter.clear_of(1, 1)
+    assert not Granter(TERMS, 0, restarted=True).clear_of(1, SECOND)  # what its last run granted may hold
+
+
+def test_ten_thousand_changes_leave_a_bounded_log_that_is_read_in_no_time() -> None:
+    disk = PowerDisk()
+    log = Log(disk, "log", HEAD)
+    member, actions = voter()
+    log.begin([m.encode(member.summary())])
+    now, decided, longest = 0, 0, 0
+
+    def carry(actions: list[Action]) -> None:
+        nonlocal decided
+        waiting = list(actions)
+        while waiting:
+            writes = [each for each in waiting if isinstance(each, Write)]
+            decided += sum(isinstance(e, Conclude) and e.verdict.state == "in force" for e in waiting)
+            if not writes:
+                return
+            if log.wants_summary:
+                log.begin([m.encode(member.summary())])
+            else:
+                log.write([m.encode(record) for each in writes for record in each.records])
+            waiting = member.written(writes[-1].token, now)
+
+    carry(actions)
+    carry(member.tick(SECOND))
+    for number in range(10_000):
+        now = 2 * SECOND + number * 1000
+        why = f"change {number}"
+        wanted = Policy(StorePolicy(rate_per_s=1.0 + number))
+        carry(member.propose(m.Proposal(f"c{number}", "ana", why, wanted), now))
+        longest = max(longest, len(disk.read("log") or b""))
+    assert decided >= 10_000
+    assert member.decided.version == 10_001
+    assert longest < 3 * COMPACT_BYTES
+    records = [m.read_record(each) for each in Log(disk, "log", HEAD).open() or []]
+    assert len(records) < 2000
+    again = Member(setup("r0"), records, now)
+    assert again.decided == member.decided
+    assert len(again.history) <= 32
+
+
+def test_a_full_disk_leaves_a_voter_that_says_nothing_and_holds_its_lease_until_its_end() -> None:
+    member, actions = voter()
+    for each in actions:
+        if isinstance(each, Write):
+            actions = member.written(each.token, 0)
+    actions = member.tick(SECOND)
+    while writes := [each for each in actions if isinstance(each, Write)]:
+        actions = member.written(writes[-1].token, SECOND)
+    assert member.decided.version == 1
+    # From here on no write returns: nothing is concluded, and nothing that was promised is taken back.
+    stuck = member.propose(m.Proposal("c", "ana", "", Policy(StorePolicy(rate_per_s=9.0))), SECOND)
+    assert not any(isinstance(each, Conclude | InForce) for each in stuck)
+    assert member.may_admit(SECOND + SECOND // 2)
+    assert not member.may_admit(2 * SECOND)
