Join running routers to a fleet: links, the disk beside the loop, pebblepass policy, trials

The control shell takes bodies where asked, and does not break a call that is being answered. pebblepass policy, pebblepass trial simulate and list. trials/router.py is the daemon that writes its history, trials/relay.py cuts links.

--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -20,16 +20,24 @@
 
 
 class _Commands(click.Group):
-    """Loads `figures` when it is called: the others need none of what it does."""
+    """Loads a subsystem's commands when they are called: the others need none of what it does."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "figures"])
+        return sorted([*super().list_commands(ctx), "figures", "policy", "trial"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name == "figures":
             from pebblepass.figures.commands import figures
 
             return figures
+        if cmd_name == "policy":
+            from pebblepass.agreement.commands import policy
+
+            return policy
+        if cmd_name == "trial":
+            from pebblepass.trials.commands import trial
+
+            return trial
         return super().get_command(ctx, cmd_name)
 
 
--- a/pebblepass/control/operations.py
+++ b/pebblepass/control/operations.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from pebblepass.control.shell import Bounds, Connection, Page, Shell
 from pebblepass.wire.address import Address
@@ -13,12 +14,16 @@
 # Each place is a descriptor, and a caller may stay for seconds and say nothing: a newcomer gets its place.
 BOUNDS = Bounds(connections=16, head=4 << 10, waiting=1, idle_s=2.0, one_call=True, make_room=True)
 
+MOST_POLICY = 64 << 10  # bytes of a policy's file
+
 
 class Told(Struct, frozen=True):
     """What the address tells, asked for at each call."""
 
     ready: Callable[[], bool]
     counters: Callable[[], list[str]]
+    fleet: Callable[[str, str, bytes], Awaitable[Page | None]] | None = None
+    """Answers calls of a fleet of routers: method, path, body; None: there is no such call."""
 
 
 class ControlAddress:
@@ -26,7 +31,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, told: Told) -> None:
         self._told = told
-        self._shell = Shell(loop, self._respond, BOUNDS)
+        body = MOST_POLICY if told.fleet is not None else 0
+        self._shell = Shell(loop, self._respond, replace(BOUNDS, body=body))
 
     async def listen(self, address: Address) -> Address:
         """Listen; raises OSError where the address can't be had. Returns the address."""
@@ -36,8 +42,12 @@
         """End."""
         self._shell.close()
 
-    async def _respond(self, _: Connection, method: str, target: str) -> Page:
+    async def _respond(self, connection: Connection, method: str, target: str) -> Page:
         path = target.partition("?")[0]
+        if self._told.fleet is not None:
+            page = await self._told.fleet(method, path, connection.body)
+            if page is not None:
+                return page
         if path not in ("/control/ready", "/control/counters"):
             return Page(404, b"no such call\n")
         if method != "GET":
--- a/pebblepass/control/shell.py
+++ b/pebblepass/control/shell.py
@@ -20,6 +20,7 @@
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    409: b"Conflict",
     503: b"Service Unavailable",
 }
 
@@ -39,6 +40,8 @@
     make_room: bool
     """Whether a newcomer at the limit takes the place of the one that has been silent for longest; else it is
     answered 503."""
+    body: int = 0
+    """Bytes of a request's body; 0: none is taken."""
 
 
 class Page(Struct, frozen=True):
@@ -95,6 +98,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
+        self.body = b""
+        """Of the request that is being answered."""
         self._head = 0
         self._idle: asyncio.TimerHandle | None = None
         self._asked: deque[tuple[str, str, bool]] = deque()  # method, target, whether to go on
@@ -134,7 +139,11 @@
     def _wait(self) -> None:
         if self._idle is not None:
             self._idle.cancel()
-        self._idle = self._shell.loop.call_later(self._shell.bounds.idle_s, self.abort)
+        self._idle = self._shell.loop.call_later(self._shell.bounds.idle_s, self._idle_for_long)
+
+    def _idle_for_long(self) -> None:
+        if self._answering is None or self._answering.done():
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Read what came."""
@@ -145,13 +154,18 @@
             self._answer(Page(400, b"not HTTP/1.1\n"), keep=False)
             return
         # Guards the memory against a request without an end.
-        if self._head > self._shell.bounds.head:
+        if self._head > self._shell.bounds.head + self._shell.bounds.body:
             self._answer(Page(400, b"request too long\n"), keep=False)
 
     def on_url(self, url: bytes) -> None:
         """Called by httptools."""
         self._target += url
 
+    def on_body(self, body: bytes) -> None:
+        """Called by httptools."""
+        if self._shell.bounds.body:
+            self.body += body
+
     def on_message_complete(self) -> None:
         """Called by httptools."""
         target, self._target, self._head = self._target.decode("ascii", "replace"), b"", 0
--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -19,8 +19,9 @@
 
 if TYPE_CHECKING:
     from pebblepass.figures.service import FiguresService
-    from pebblepass.operator import FiguresSection, ManyKeysSection
+    from pebblepass.operator import FiguresSection, FleetSection, ManyKeysSection
 
+daemon_class = Daemon  # a trial of a broken program puts another here
 OPERATOR_VARIABLE = "PEBBLEPASS_OPERATOR"
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
 
@@ -36,6 +37,8 @@
         """What the ledger is told; read at the start only."""
         self.many_keys: ManyKeysSection | None = None
         """Whether many keys are read at once, and within which bounds; read at the start only."""
+        self.fleet: FleetSection | None = None
+        """The fleet that this router belongs to; read at the start only."""
 
     def apply(self) -> None:
         """Read the file and take it over, whole or not at all; raises ValueError in one plain line."""
@@ -50,7 +53,7 @@
             raise ValueError(str(error)) from None
         log.setLevel(operator.log.level.upper())
         self._limit.lines_a_second = operator.log.lines_per_second
-        self.figures, self.many_keys = operator.figures, operator.many_keys
+        self.figures, self.many_keys, self.fleet = operator.figures, operator.many_keys, operator.fleet
 
     def reload(self) -> None:
         """Read the file again; one that can't be used changes nothing."""
@@ -75,9 +78,11 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
-    daemon = Daemon(loop, config, spent=time.process_time())
+    daemon = daemon_class(loop, config, spent=time.process_time())
     if operator.many_keys is not None:
         daemon.read_many(operator.many_keys)
+    if operator.fleet is not None:
+        daemon.join_fleet(operator.fleet)
     terminated = asyncio.Event()
 
     def reload() -> None:
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -22,8 +22,9 @@
 from pebblepass.wire.address import Address
 
 if TYPE_CHECKING:
+    from pebblepass.daemon.fleet import FleetPart
     from pebblepass.daemon.succession import Succession
-    from pebblepass.operator import ManyKeysSection
+    from pebblepass.operator import FleetSection, ManyKeysSection
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 START_SHARE = 0.4  # of the cores that it has, that the start may have taken when clients come
@@ -52,7 +53,7 @@
     `start` it, `drain` it where what it has taken is to be answered first, and `stop` it.
     """
 
-    host_class = RouterHost
+    host_class: type[RouterHost] = RouterHost
     """What carries out the module's actions; a rehearsal of a broken router puts another here."""
 
     def __init__(
@@ -89,6 +90,7 @@
             self.host.servers_changed(known)
         self._reloading: asyncio.Task[None] | None = None
         self._control: ControlAddress | None = None
+        self._fleet: FleetPart | None = None
 
     def read_many(self, section: ManyKeysSection) -> None:
         """Take reads of many keys; before the start."""
@@ -98,11 +100,22 @@
         many = ManyReads(self._loop, self.host, self._pool, section, self._config.memory)
         self.host.many = self.clients.many = many
 
+    def join_fleet(self, section: FleetSection) -> FleetPart:
+        """Be one of a fleet of routers; before the start. Raises ConfigError."""
+        # Loaded only where the operator wants it.
+        from pebblepass.daemon.fleet import FleetPart
+
+        self._fleet = FleetPart(self._loop, self.host, self._config, section)
+        return self._fleet
+
     async def start(self) -> None:
         """Listen for clients and follow the list; raises OSError where the address can't be had."""
         if self._config.ops is not None:
-            self._control = ControlAddress(self._loop, Told(self.is_ready, self.host.figures))
+            fleet = self._fleet.answer if self._fleet is not None else None
+            self._control = ControlAddress(self._loop, Told(self.is_ready, self.host.figures, fleet))
             await self._control.listen(self._config.ops)
+        if self._fleet is not None:
+            await self._fleet.start()
         if self._config.inherited is None:
             await self.clients.listen(self._config.listen)
         else:
@@ -129,7 +142,8 @@
 
     def is_ready(self) -> bool:
         """Whether it knows its servers, and takes requests still."""
-        return self.host.ready and self.clients.listening
+        joined = self._fleet is None or self._fleet.ready()
+        return self.host.ready and self.clients.listening and joined
 
     def _take(self, listing: Listing) -> None:
         self.host.servers_changed(listing)
@@ -187,6 +201,8 @@
         """Break every connection, as the end of the process would: nothing is sent any more."""
         if self._reloading is not None:
             self._reloading.cancel()
+        if self._fleet is not None:
+            self._fleet.let_go()
         self.host.lag.close()
         self.host.abandon()
         self._pool.close()
--- /dev/null
+++ b/pebblepass/daemon/fleet.py
@@ -0,0 +1,167 @@
+"""A router's part in a fleet: its member of the agreement, what operators ask, and when it is ready."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from pebblepass.agreement import messages as m
+from pebblepass.agreement.leases import Terms
+from pebblepass.agreement.member import InForce, Note, Setup, genesis
+from pebblepass.agreement.policy import Ground, PolicyError, held, read_policy
+from pebblepass.agreement.service import AgreementService, Told, open_log
+from pebblepass.control.shell import Page
+from pebblepass.daemon.config import Config, ConfigError
+from pebblepass.daemon.router import RouterHost
+from pebblepass.decisions import PolicyChanged
+from pebblepass.durable.disk import Folder
+from pebblepass.durable.frames import DurableError
+from pebblepass.operator import FleetSection
+from pebblepass.wire.address import parse_address
+
+CALLS = "/control/policy/"
+LOCK_STEP_S = 0.2
+
+log = logging.getLogger("pebblepass")
+
+
+class FleetPart:
+    """What joins a running router to its fleet."""
+
+    service_class = AgreementService
+    """A trial of a broken program puts another here."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, host: RouterHost, config: Config, section: FleetSection
+    ) -> None:
+        """Open what lasts; raises ConfigError in one plain line."""
+        self._loop, self._host, self._section = loop, host, section
+        self.name = config.name
+        if self.name not in section.members:
+            raise ConfigError(f"fleet.members: this router, {self.name}, is not among them")
+        where = section.listen or section.members[self.name]
+        self._listen = parse_address("fleet.listen", where)
+        for name, address in section.members.items():
+            parse_address(f"fleet.members.{name}", address)
+        if self.name in section.voters and not section.directory:
+            raise ConfigError(f"fleet.directory: {self.name} is a voter, and has to keep its promises")
+        self._folder = Folder(section.directory) if section.directory else None
+        try:
+            # In an upgrade the process that is there holds it: two must not vote for one.
+            self.alone = self._folder is None or self._folder.lock()
+            disk = open_log(self._folder, section.id, self.name) if self._folder and self.alone else None
+        except (OSError, DurableError) as error:
+            raise ConfigError(f"fleet.directory {section.directory}: {error}") from None
+        boot = os.urandom(6).hex()
+        terms = Terms(section.lease_ms * 1_000_000, section.drift)
+        setup = Setup(
+            self.name,
+            boot,
+            terms,
+            genesis(dict(section.members), section.voters),
+            Ground(host.settings).check,
+            f"{self.name}.{boot}" if disk is not None else "",
+            config.seed,
+        )
+        self._setup = setup
+        self._ready_at = host.now() + int(section.alone_after_s * 1e9)
+        self._was_ready = False
+        self._told = Told(self._in_force, self._step)
+        self.steps: list[dict[str, Any]] = []
+        self.service = self.service_class(loop, host.now, setup, section.id, disk, self._told)
+        self._lock_timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Begin; raises OSError where the address can't be had."""
+        await self.service.start(self._listen if self.alone else None)
+        if not self.alone:
+            self._lock_timer = self._loop.call_later(LOCK_STEP_S, self._succeed)
+
+    def _succeed(self) -> None:
+        """In an upgrade: once the older process has let go of the disk, this one votes for both."""
+        assert self._folder is not None
+        try:
+            if self._folder.lock():
+                disk = open_log(self._folder, self._section.id, self.name)
+                self.service.close()
+                fresh = msgspec.structs.replace(self._setup, fresh=f"{self.name}.{self._setup.boot}")
+                self.service = self.service_class(
+                    self._loop, self._host.now, fresh, self._section.id, disk, self._told
+                )
+                self.alone = True
+                self._lock_timer = None
+                self._starting = self._loop.create_task(self.service.start(self._listen))
+                return
+        except (OSError, DurableError) as error:
+            log.error("fleet.directory %s: %s", self._section.directory, error)
+        self._lock_timer = self._loop.call_later(LOCK_STEP_S, self._succeed)
+
+    def let_go(self) -> None:
+        """The router ends: its successor may have the address and the disk."""
+        if self._lock_timer is not None:
+            self._lock_timer.cancel()
+        self.service.close()
+        if self._folder is not None and self.alone:
+            self._folder.unlock()
+
+    def ready(self) -> bool:
+        """Whether it has held a lease since its start, or has waited for one for as long as it is to."""
+        if not self._was_ready:
+            now = self._host.now()
+            self._was_ready = self.service.member.may_admit(now) or now >= self._ready_at
+        return self._was_ready
+
+    def _in_force(self, action: InForce) -> None:
+        policy = held(action.value.version, action.value.policy)
+        self._host.tell(PolicyChanged(policy, action.until))
+
+    def _step(self, note: Note) -> None:
+        told = {"event": note.event, "version": note.version, "peer": note.peer, "cause": note.cause}
+        log.info("fleet: %s", msgspec.json.encode({k: v for k, v in told.items() if v}).decode())
+
+    # What operators ask
+
+    async def answer(self, method: str, path: str, body: bytes) -> Page | None:
+        """Answer a call of the control address; None: it is none of the fleet's."""
+        if not path.startswith(CALLS):
+            return None
+        calls: dict[str, tuple[str, Callable[[], Any]]] = {
+            "status": ("GET", lambda: self.service.member.status(self._host.now())),
+            "history": ("GET", lambda: self.service.member.told_history()),
+        }
+        call, _, argument = path.removeprefix(CALLS).partition("/")
+        if call in calls and method == calls[call][0]:
+            return _page(200, calls[call][1]())
+        if call in ("propose", "withdraw") and method == "POST":
+            try:
+                proposal = self._proposal(call, argument, body)
+            except PolicyError as error:
+                return _page(400, {"state": "refused", "lines": [str(error)]})
+            verdict = await self.service.propose(proposal)
+            return _page(200 if verdict.state == "in force" else 409, msgspec.to_builtins(verdict))
+        return Page(404, b"no such call\n")
+
+    def _proposal(self, call: str, change: str, body: bytes) -> m.Proposal:
+        if call == "withdraw":
+            who = body.decode("utf-8", "replace")[:200]
+            return m.Proposal(f"withdraw.{change}", who, f"{change} withdrawn", withdraw=change)
+        told = read_policy("policy", body)
+        for name, address in told.add.items():
+            try:
+                parse_address(f"add.{name}", address)
+            except ValueError as error:
+                raise PolicyError(f"policy: {error}") from None
+        fleet_only = told.policy() == type(told.policy())() and bool(told.add or told.retire or told.voters)
+        policy = None if fleet_only else told.policy()
+        return m.Proposal(
+            change or os.urandom(6).hex(), told.who, told.why, policy, told.add, told.retire, told.voters
+        )
+
+
+def _page(status: int, told: Any) -> Page:
+    return Page(status, msgspec.json.encode(told) + b"\n", "application/json")
--- a/pebblepass/operator/__init__.py
+++ b/pebblepass/operator/__init__.py
@@ -4,11 +4,19 @@
 """
 
 from pebblepass.operator.checked import FileError, decode_toml, describe, read_toml
-from pebblepass.operator.schema import FiguresSection, LogSection, ManyKeysSection, Operator, load_operator
+from pebblepass.operator.schema import (
+    FiguresSection,
+    FleetSection,
+    LogSection,
+    ManyKeysSection,
+    Operator,
+    load_operator,
+)
 
 __all__ = [
     "FiguresSection",
     "FileError",
+    "FleetSection",
     "LogSection",
     "ManyKeysSection",
     "Operator",
--- a/pebblepass/operator/schema.py
+++ b/pebblepass/operator/schema.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pebblepass.operator.checked import read_toml
+from pebblepass.operator.checked import FileError, read_toml
 
 
 class LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -81,6 +81,34 @@
     ] = ()
 
 
+class FleetSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[fleet]`: routers that know each other, the same at each; without it a router is alone."""
+
+    id: Annotated[str, msgspec.Meta(min_length=1, max_length=64, description="the fleet's name")]
+    members: Annotated[
+        dict[str, str], msgspec.Meta(min_length=1, description="routers and the addresses that others reach")
+    ]
+    voters: Annotated[
+        tuple[str, ...], msgspec.Meta(min_length=1, max_length=9, description="those that decide: 3, 5 or 7")
+    ]
+    listen: Annotated[
+        str, msgspec.Meta(description="HOST:PORT for links; empty: the address among the members")
+    ] = ""
+    directory: Annotated[
+        str, msgspec.Meta(description="a folder that lasts, for a voter's promises; empty: it can't vote")
+    ] = ""
+    lease_ms: Annotated[
+        int, msgspec.Meta(ge=100, le=60_000, description="for which a policy may be used without a word")
+    ] = 1000
+    drift: Annotated[
+        float, msgspec.Meta(ge=0.01, le=0.5, description="by which part a router's clock may be wrong")
+    ] = 0.1
+    alone_after_s: Annotated[
+        float,
+        msgspec.Meta(ge=0, le=3600, description="after which a router without a lease serves at the floor"),
+    ] = 10.0
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file; a section that is left out leaves its subsystem as it is by default."""
 
@@ -89,8 +117,14 @@
     many_keys: Annotated[ManyKeysSection | None, msgspec.Meta(description="reads of many keys, KV.MGET")] = (
         None
     )
+    fleet: Annotated[FleetSection | None, msgspec.Meta(description="a fleet of routers")] = None
 
 
 def load_operator(path: str | Path) -> Operator:
     """Read the operator's file; raises FileError in one plain line."""
-    return read_toml(path, Operator)
+    operator = read_toml(path, Operator)
+    if operator.fleet is not None:
+        strange = sorted({*operator.fleet.voters} - operator.fleet.members.keys())
+        if strange:
+            raise FileError(f"{path}: fleet.voters: {strange[0]} is not among fleet.members")
+    return operator
--- /dev/null
+++ b/pebblepass/trials/router.py
@@ -0,0 +1,122 @@
+"""The daemon as a trial runs it: what it admits and promises is written down, and a part may be broken.
+
+    PEBBLEPASS_HISTORY=FILE [PEBBLEPASS_BREAK=NAME] python -m pebblepass.trials.router
+
+Everything else is the daemon's own. Times are those of the machine's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from crc32c import crc32c
+
+from pebblepass.agreement import messages as m
+from pebblepass.agreement.member import Action, InForce, Member, Send
+from pebblepass.agreement.service import AgreementService
+from pebblepass.daemon import __main__ as daemon_main
+from pebblepass.daemon import fleet
+from pebblepass.daemon.daemon import Daemon
+from pebblepass.daemon.router import RouterHost
+from pebblepass.decisions import PolicyChanged
+from pebblepass.decisions import Send as SendRequest
+from pebblepass.trials.broken import SOUND, VARIANTS
+from pebblepass.trials.history import Event
+
+VARIANT = VARIANTS.get(os.environ.get("PEBBLEPASS_BREAK", ""), SOUND)
+# In one write each, behind one another: a kill tears the last line at most.
+_file = os.open(os.environ["PEBBLEPASS_HISTORY"], os.O_CREAT | os.O_WRONLY | os.O_APPEND, 0o600)
+_encode = msgspec.json.Encoder().encode
+
+
+def record(event: Event) -> None:
+    """Write a line of the history."""
+    os.write(_file, _encode(event) + b"\n")
+
+
+class RecordingHost(RouterHost):
+    """Writes down each fetch that the decisions admit, with the time at which they looked at the clock."""
+
+    name = ""
+    serves_on = VARIANT.name == "old-version-served-when-cut-off"
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._decided_at = 0
+        sound = self._router.handle
+
+        def handle(event: Any, now: int) -> Any:
+            self._decided_at = now
+            return sound(event, now)
+
+        self._router.handle = handle  # type: ignore[method-assign]
+
+    def tell(self, event: Any) -> None:
+        """Broken on demand: a router that takes no end of its lease."""
+        if self.serves_on and isinstance(event, PolicyChanged):
+            if not event.until:
+                return
+            event = PolicyChanged(event.policy, 1 << 62)
+        super().tell(event)
+
+    def _carry_out(self, action: Any) -> None:
+        if isinstance(action, SendRequest) and action.server in self._origins:
+            request = self.request(action.request)
+            version = self._router.version()
+            # Writes are counted, and never refused: no policy admits them.
+            if request is not None and request.command.value is None:
+                what = "admit" if version else "floor"
+                record(Event(self._decided_at, RecordingHost.name, what, version))
+        super()._carry_out(action)
+
+
+class RecordingService(AgreementService):
+    """Writes down what is promised and what is decided."""
+
+    member_class = VARIANT.member(Member)
+    _seen = 0
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._record_vote(action.message)
+            elif isinstance(action, InForce) and action.value.version > self._seen:
+                self._seen = action.value.version
+                value = action.value
+                digest = f"{crc32c(m.encode(value)):08x}"
+                at = self._now()
+                record(Event(at, self.member.name, "decided", value.version, value.change, digest))
+        super()._carry_out(actions)
+
+    def _record_vote(self, message: m.Message) -> None:
+        body, disk, name = message.body, message.sender.incarnation, self.member.name
+        if isinstance(body, m.Promise):
+            told = body.value.change if body.value is not None else ""
+            record(Event(self._now(), name, "promised", body.version, "", told, body.ballot, disk))
+        elif isinstance(body, m.Accepted):
+            value = self.member.acceptor.value
+            change = value.change if value is not None else ""
+            record(Event(self._now(), name, "accepted", body.version, change, "", body.ballot, disk))
+
+
+class RecordingDaemon(Daemon):
+    """The daemon with both."""
+
+    host_class: type[RouterHost] = RecordingHost
+
+
+def main() -> int:
+    """Run the router."""
+    fleet.FleetPart.service_class = RecordingService
+    daemon_main.daemon_class = RecordingDaemon
+    told = msgspec.json.decode(Path(os.environ["LB_CONFIG"]).read_bytes())
+    RecordingHost.name = os.environ.get("LB_NAME") or told.get("name", "router")
+    return daemon_main.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/trials/site.py
@@ -0,0 +1,195 @@
+"""Several processes of the daemon in one fleet, a relay between every two, and faults between them."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pebblepass.agreement.commands import NoAnswerError, ask
+from pebblepass.standins.ports import take_port
+from pebblepass.trials.checkers import check_all
+from pebblepass.trials.history import Event, read_history
+from pebblepass.trials.relay import Relays
+from tests.sockets import (
+    FACTS,
+    MISS,
+    PATIENCE_S,
+    ROOT,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    entry,
+    get,
+    hit,
+    http_answer,
+)
+
+LEASE_MS = 400
+QUOTA = 200.0
+
+
+class Site:
+    """The fleet, its stand-ins, and clients that read what no cache has."""
+
+    def __init__(self, folder: Path, routers: int, voters: int, variant: str) -> None:
+        self.folder, self.variant = folder, variant
+        self.names = [f"r{number}" for number in range(routers)]
+        self.voters = self.names[:voters]
+        self.cache = Peer(lambda _, words: MISS if words[0] == b"KV.GET" else hit(b"v"))
+        self.store = Peer(lambda _, words: http_answer(200, b"v"), is_http=True)
+        listed = [entry(self.cache, "s1"), entry(self.store, "store", "origin")]
+        self.discovery = DiscoveryPeer(listed)
+        self.ports = {name: (take_port(), take_port(), take_port()) for name in self.names}
+        self.relays = Relays({name: ports[2] for name, ports in self.ports.items()})
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.logs: dict[str, Path] = {}
+        self.proposed: list[Event] = []
+        self._stop = threading.Event()
+        self._clients: list[threading.Thread] = []
+
+    def start(self, name: str, **fleet: Any) -> None:
+        """Start a router's process."""
+        listen, ops, link = self.ports[name]
+        home = self.folder / name
+        (home / "disk").mkdir(parents=True, exist_ok=True)
+        tenants = fleet.pop("tenants", [{"name": "acme", "portion": 1.0, "quotaPerS": QUOTA}])
+        told = {
+            "name": name,
+            "listen": f"127.0.0.1:{listen}",
+            "discovery": f"127.0.0.1:{self.discovery.peer.port}",
+            "ops": f"127.0.0.1:{ops}",
+            "settings": {**FACTS, "balancers": len(self.names), "tenants": tenants},
+        }
+        (home / "config.json").write_bytes(msgspec.json.encode(told))
+        section: dict[str, Any] = {
+            "id": "trial",
+            "listen": f"127.0.0.1:{link}",
+            "members": {other: f"127.0.0.1:{self.relays.port(name, other)}" for other in self.names},
+            "voters": self.voters,
+            "lease_ms": LEASE_MS,
+            "alone_after_s": 3600,
+            **({"directory": str(home / "disk")} if name in self.voters else {}),
+            **fleet,
+        }
+        members = section.pop("members")
+        lines = [f"{key} = {json.dumps(value)}" for key, value in section.items()]
+        lines += ["[fleet.members]", *(f"{key} = {json.dumps(value)}" for key, value in members.items())]
+        (home / "operator.toml").write_text("\n".join(["[fleet]", *lines]))
+        self.logs[name] = home / "log"
+        with self.logs[name].open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "pebblepass.trials.router"],
+                cwd=ROOT,
+                env={
+                    **os.environ,
+                    "LB_CONFIG": str(home / "config.json"),
+                    "PEBBLEPASS_OPERATOR": str(home / "operator.toml"),
+                    "PEBBLEPASS_HISTORY": str(home / f"history.{time.monotonic_ns()}"),
+                    "PEBBLEPASS_BREAK": self.variant,
+                },
+                stderr=log,
+            )
+
+    def signal(self, name: str, how: signal.Signals) -> None:
+        """Send a signal; SIGKILL is waited out."""
+        self.processes[name].send_signal(how)
+        if how in (signal.SIGKILL, signal.SIGTERM):
+            self.processes[name].wait(PATIENCE_S)
+
+    def ask(self, name: str, method: str, call: str, body: bytes = b"") -> Any:
+        """One call of a router's control address; None: it did not answer."""
+        try:
+            return ask(f"127.0.0.1:{self.ports[name][1]}", method, call, body)[1]
+        except NoAnswerError:
+            return None
+
+    def propose(self, name: str, change: str, text: str) -> Any:
+        """Propose, and wait for the verdict."""
+        self.proposed.append(Event(time.monotonic_ns(), name, "proposed", change=change))
+        verdict = self.ask(name, "POST", f"propose/{change}", text.encode())
+        if verdict is not None:
+            told, version = verdict["state"], verdict.get("version", 0)
+            self.proposed.append(Event(time.monotonic_ns(), name, "verdict", version, change, told))
+        return verdict
+
+    def holds(self, name: str, version: int) -> bool:
+        """Whether it is ready, and has a lease on this version."""
+        told = self.ask(name, "GET", "status")
+        return told is not None and told["in_force"] and told["version"] == version
+
+    def wait(self, version: int, *names: str) -> None:
+        """Wait until these routers, or all, hold a version."""
+        for name in names or self.names:
+            end = time.monotonic() + PATIENCE_S
+            while not self.holds(name, version):
+                assert time.monotonic() < end, f"{name} never held {version}: {self.logs[name].read_text()}"
+                time.sleep(0.005)
+
+    def load(self) -> None:
+        """Clients at every router that read what no cache has, until the end."""
+        for name in self.names:
+            thread = threading.Thread(target=self._read, args=(name,), daemon=True)
+            thread.start()
+            self._clients.append(thread)
+
+    def _read(self, name: str) -> None:
+        number = 0
+        while not self._stop.is_set():
+            with contextlib.suppress(OSError, AssertionError):
+                client = Client(self.ports[name][0])
+                try:
+                    while not self._stop.is_set():
+                        number += 1
+                        client.ask(get(f"{name}.{number}", f"{name}.{number}"))
+                        self._stop.wait(0.01)
+                finally:
+                    client.close()
+            self._stop.wait(0.02)
+
+    def history(self) -> list[Event]:
+        """What the routers wrote down, and what was proposed."""
+        found = read_history(sorted(self.folder.glob("*/history.*")))
+        return sorted([*found, *self.proposed], key=lambda event: event.at)
+
+    def close(self) -> None:
+        """End all."""
+        self._stop.set()
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait(PATIENCE_S)
+        for thread in self._clients:
+            thread.join(PATIENCE_S)
+        self.relays.close()
+        for peer in (self.cache, self.store, self.discovery.peer):
+            peer.close()
+
+
+@contextlib.contextmanager
+def fleet(folder: Path, routers: int = 3, voters: int = 3, variant: str = "") -> Iterator[Site]:
+    """A fleet that has formed, under load; at the end every check must hold, unless a variant is played."""
+    made = Site(folder, routers, voters, variant)
+    try:
+        for name in made.names:
+            made.start(name)
+        made.wait(1)
+        made.load()
+        yield made
+    finally:
+        made.close()
+    if not variant:
+        assert check_all(made.history()) == []
+        for name, log in made.logs.items():
+            assert "Traceback" not in log.read_text(), f"{name}: {log.read_text()}"
--- /dev/null
+++ b/tests/trials/test_processes.py
@@ -0,0 +1,167 @@
+"""Fleets of real processes with faults between them, under load; the verdict is that of the histories."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import threading
+import time
+from pathlib import Path
+
+from pebblepass.trials.checkers import check_all
+from tests.trials.site import LEASE_MS, fleet
+
+
+def rate(number: int) -> str:
+    return f'who = "ana"\nwhy = "trial"\n[store]\nrate_per_s = {100 + number}\n'
+
+
+def test_a_change_is_checked_by_all_decided_and_in_force_everywhere(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=4) as site:  # r3 does not vote, and proposes all the same
+        verdict = site.propose("r3", "c1", rate(1))
+        assert verdict["state"] == "in force"
+        assert verdict["lines"][0] == "checked by r0, r1, r2, r3"
+        assert verdict["lines"][1] == "decided: version 2, by 2 of 3 voters"
+        site.wait(2)
+        rows = site.ask("r1", "GET", "history")
+        assert rows[0]["who"] == "ana"
+        assert rows[0]["difference"] == ["store.rate_per_s: as before -> 101.0"]
+        assert site.propose("r0", "c1", rate(1))["version"] == 2  # asked again: the same change
+        assert site.propose("r0", "c2", rate(1))["lines"] == ["refused: nothing would change"]
+        # Something must have been admitted under each, or the checks have seen nothing.
+        seen = {event.version for event in site.history() if event.what == "admit"}
+        assert seen >= {1, 2}
+
+
+def test_two_of_seven_down_while_it_is_made_take_it_before_they_are_ready(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=7, voters=7) as site:
+        shutil.copytree(tmp_path / "r6" / "disk", tmp_path / "older")
+        assert site.propose("r0", "c1", rate(1))["state"] == "in force"
+        assert site.propose("r1", "c2", rate(2))["state"] == "in force"
+        for name in ("r5", "r6"):
+            site.signal(name, signal.SIGKILL)
+        verdict = site.propose("r2", "c3", rate(3))
+        assert verdict["state"] == "in force"
+        assert [line.split(",")[0] for line in verdict["lines"][3:]] == ["missing: r5", "missing: r6"]
+        # One comes back with a disk that is two versions old: it is taken in anew.
+        shutil.rmtree(tmp_path / "r6" / "disk")
+        shutil.copytree(tmp_path / "older", tmp_path / "r6" / "disk")
+        site.start("r6")
+        site.start("r5")
+        site.wait(5)
+        assert site.ask("r0", "GET", "history")[0]["why"] == "r6 has come back with another disk"
+        assert site.ask("r6", "GET", "status")["votes"]
+
+
+def test_a_change_with_less_than_a_quorum_is_refused_at_once_by_name(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        for name in ("r1", "r2"):
+            site.signal(name, signal.SIGKILL)
+        end = time.monotonic() + 20
+        while True:  # until their silence is noticed
+            begun = time.monotonic()
+            verdict = site.propose("r0", f"c{begun}", rate(1))
+            if time.monotonic() - begun < LEASE_MS / 4000:
+                break
+            assert time.monotonic() < end
+        assert verdict["state"] == "refused"
+        assert verdict["lines"] == ["refused: r1, r2 can't be reached; 2 of 3 voters are needed"]
+        told = site.ask("r0", "GET", "status")
+        assert told["version"] == 1
+        assert not told["in_force"]  # it can't tell: the floor holds, and service goes on
+        site.start("r1")
+        site.wait(1, "r0", "r1")
+
+
+def test_a_policy_that_one_router_cannot_use_is_refused_whole(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        site.signal("r2", signal.SIGKILL)
+        site.start("r2", tenants=[{"name": "other", "portion": 1.0, "quotaPerS": 50.0}])
+        site.wait(1)
+        verdict = site.propose("r0", "c1", "[namespaces.acme]\nquota_per_s = 90\n")
+        assert verdict["state"] == "refused"
+        assert verdict["lines"] == ["refused: r2: namespaces.acme: no such namespace"]
+        site.wait(1)
+
+
+def test_a_process_that_was_stopped_for_three_leases_uses_no_stale_decision(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        site.signal("r2", signal.SIGSTOP)
+        verdict = site.propose("r0", "c1", rate(1))
+        assert verdict["state"] == "in force"
+        time.sleep(3 * LEASE_MS / 1000)
+        site.signal("r2", signal.SIGCONT)
+        site.wait(2)
+
+
+def test_all_killed_in_mid_change_and_started_again_end_it_either_way(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        for number in range(4):
+            asking = threading.Thread(target=site.propose, args=("r0", f"c{number}", rate(number)))
+            asking.start()
+            time.sleep(0.004 * number)  # at another step each time; whichever it is, the checks must hold
+            for name in site.names:
+                site.signal(name, signal.SIGKILL)
+            asking.join()
+            for name in site.names:
+                site.start(name)
+            end = time.monotonic() + 20
+            while True:
+                told = [site.ask(name, "GET", "status") for name in site.names]
+                if all(each and each["in_force"] and not each["open"] for each in told):
+                    break
+                assert time.monotonic() < end, told
+            assert len({each["version"] for each in told}) == 1
+
+
+def test_a_cut_off_router_holds_the_floor_and_the_others_go_on(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=5, voters=5) as site:
+        site.relays.cut(*((a, b) for a in site.names for b in site.names if "r4" in (a, b) and a != b))
+        assert site.propose("r0", "c1", rate(1))["state"] == "in force"
+        assert not site.ask("r4", "GET", "status")["in_force"]
+        # The other way round: it hears all, and reaches nobody.
+        site.relays.mend()
+        site.wait(2)
+        site.relays.cut(*(("r4", b) for b in site.names if b != "r4"))
+        assert site.propose("r1", "c2", rate(2))["state"] == "in force"
+        site.relays.mend()
+        site.wait(3)
+
+
+def test_a_router_with_an_empty_disk_votes_only_once_it_is_taken_in_anew(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        site.signal("r1", signal.SIGKILL)
+        shutil.rmtree(tmp_path / "r1" / "disk")
+        site.start("r1")
+        site.wait(2)
+        row = site.ask("r0", "GET", "history")[0]
+        assert row["why"] == "r1 has come back with another disk"
+        assert site.propose("r1", "c1", rate(1))["state"] == "in force"
+
+
+def test_two_changes_at_once_from_two_routers_end_one_after_the_other_or_refused(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        ended = []
+
+        def go(name: str, change: str, number: int) -> None:
+            ended.append(site.propose(name, change, rate(number))["state"])
+
+        asking = [threading.Thread(target=go, args=(f"r{n}", f"c{n}", n)) for n in range(3)]
+        for each in asking:
+            each.start()
+        for each in asking:
+            each.join()
+        assert "in force" in ended
+        assert set(ended) <= {"in force", "refused"}
+        told = site.ask("r0", "POST", "withdraw/c9", b"ana")
+        assert told["state"] == "in force"  # a version that says: c9 is nothing
+
+
+def test_a_program_that_serves_on_when_cut_off_is_caught_by_its_history(tmp_path: Path) -> None:
+    with fleet(tmp_path, variant="old-version-served-when-cut-off") as site:
+        site.relays.cut(*((a, b) for a in site.names for b in site.names if "r2" in (a, b) and a != b))
+        assert site.propose("r0", "c1", rate(1))["state"] == "in force"
+        end = time.monotonic() + 20
+        while not check_all(site.history()):
+            assert time.monotonic() < end
+    assert [found.check for found in check_all(site.history())] == ["everywhere or nowhere"]
