Kill proposers at every step, fill disks and upgrade in mid-change; take every order of small fleets

Need: hard cases of the change of policy had no test with processes, and no search of all orders stood.

Seen while writing them: in an upgrade two processes of one name are there, and a voter's answers to the new one went to the old one, which the voter dials; a grant that was meant for the one could have counted for the other. At fault: links and grants knew routers by name only (peers/links.py, agreement/member.py _grant).

Change: hello and grants name the run of the process, and answers go back to the run that asked.

--- a/pebblepass/agreement/member.py
+++ b/pebblepass/agreement/member.py
@@ -31,6 +31,8 @@
 
     to: str
     message: m.Message
+    boot: str = ""
+    """The run of its process that is meant, where that matters; empty: the one that votes."""
 
 
 class Write(Struct, frozen=True):
@@ -286,14 +288,14 @@
 
     # Sending and writing
 
-    def _send(self, to: str, body: m.Body) -> None:
+    def _send(self, to: str, body: m.Body, boot: str = "") -> None:
         message = m.Message(self.sender(), body)
         if to == self.name:
             self._inbox.append(message)
         elif self._durable >= self._boot_token:
             # Danger: a start that is told before it lasts is counted twice after a power loss, and the second
             # one would be taken for that of an older copy of the disk.
-            self._actions.append(Send(to, message))
+            self._actions.append(Send(to, message, boot))
 
     def _send_all(self, names: Iterable[str], body: m.Body) -> None:
         for name in names:
@@ -319,11 +321,11 @@
         if sender.name != self.name:
             self._hear(sender)
             if isinstance(body, m.Renew | m.State) and not (sender.sure or self._is_older(sender)):
-                self._send(sender.name, m.Welcome(sender.boot))
+                self._send(sender.name, m.Welcome(sender.boot), sender.boot)
         match body:
             case m.Renew():
                 self._renewed(sender, body)
-            case m.Grant():
+            case m.Grant() if body.boot == self.setup.boot:
                 if sender.incarnation == self.voters.get(sender.name):
                     self.holder.granted(sender.name, body.seq, body.version)
             case m.Welcome() if body.boot == self.setup.boot:
@@ -332,7 +334,7 @@
                 self._learn(body.value, sender.name, body.past)
             case m.Check():
                 said = self.setup.check(self.decided.policy, body.value.policy)
-                self._send(sender.name, m.Checked(body.value.version, body.value.change, said))
+                self._send(sender.name, m.Checked(body.value.version, body.value.change, said), sender.boot)
             case m.Prepare() | m.Accept():
                 self._vote(sender, body)
             case m.Checked():
@@ -354,7 +356,7 @@
                 if self._relayed.pop(body.verdict.change, None) is not None:
                     self._actions.append(Conclude(body.verdict))
             case m.Ask():
-                self._send(sender.name, m.Heard(body.name, self.view.age(body.name, self._now)))
+                self._send(sender.name, m.Heard(body.name, self.view.age(body.name, self._now)), sender.boot)
             case m.Heard():
                 self.view.told(body.name, body.age, self._now)
         self._settle()
@@ -381,7 +383,7 @@
             if len(self._last_told) > 4096:
                 self._last_told.clear()
             self._last_told[key] = self._now
-            self._send(to.name, body)
+            self._send(to.name, body, to.boot)
 
     def _count_boots(self, sender: m.Sender) -> None:
         """A disk that was started from less often than it was before is an older copy of itself."""
@@ -389,7 +391,7 @@
         if self._is_older(sender):
             boots = self.seen[sender.name][1]
             self._note("older disk", sender.name, f"start {sender.boots}, and {boots} were seen")
-            self._send(sender.name, m.Stale(sender.boot, boots))
+            self._send(sender.name, m.Stale(sender.boot, boots), sender.boot)
         elif self.seen.get(sender.name) != known:
             self.seen[sender.name] = known
             if self.incarnation:
@@ -430,8 +432,8 @@
         version = self.decided.version
         if version < 1 or not self.votes or self.lasting < version or self.closed < version - 1:
             return
-        for name, _, seq in self.granter.grant(version, self._now):
-            self._send(name, m.Grant(seq, version))
+        for name, boot, seq in self.granter.grant(version, self._now):
+            self._send(name, m.Grant(seq, version, boot), boot)
 
     def _renew(self) -> None:
         self._renew_at = self._now + int(self.terms.renewal * self.rng.uniform(0.8, 1.0))
@@ -499,7 +501,7 @@
         if body.version != self.decided.version + 1 or not self.votes or not self._may_promise():
             return
         if self.closed < body.version - 2:
-            self._send(sender.name, m.Rejected(body.version, body.ballot, body.ballot[0] - 1))
+            self._send(sender.name, m.Rejected(body.version, body.ballot, body.ballot[0] - 1), sender.boot)
             return
         reply: Reply
         if isinstance(body, m.Prepare):
@@ -512,7 +514,7 @@
             self._took_at = self._now
         record, answer = reply
         if record is None:
-            self._send(sender.name, answer)
+            self._send(sender.name, answer, sender.boot)
         else:
             self._once_lasting(record, sender.name, answer)
 
--- a/pebblepass/agreement/messages.py
+++ b/pebblepass/agreement/messages.py
@@ -99,6 +99,8 @@
 
     seq: int
     version: int
+    boot: str
+    """The run of the process that asked: in an upgrade two of one name are there."""
 
 
 class State(msgspec.Struct, frozen=True, tag="state"):
--- a/pebblepass/agreement/service.py
+++ b/pebblepass/agreement/service.py
@@ -67,7 +67,7 @@
         self.member = self.member_class(setup, records, now())
         if self._log is not None and records is None:
             self._log.begin([m.encode(self.member.summary())])
-        self.links = Links(loop, fleet, setup.name, self._take, self._known)
+        self.links = Links(loop, fleet, setup.name, setup.boot, self._take, self._known)
         self.counts: Counter[str] = Counter()
         """Messages, writes and failed writes."""
         self._worker = ThreadPoolExecutor(1) if self._log is not None else None
@@ -131,7 +131,7 @@
             match action:
                 case Send():
                     self.counts["messages"] += 1
-                    self.links.send(action.to, m.encode(action.message))
+                    self.links.send(action.to, m.encode(action.message), action.boot)
                 case Write():
                     self._waiting.append(action)
                 case InForce():
--- a/pebblepass/daemon/fleet.py
+++ b/pebblepass/daemon/fleet.py
@@ -89,7 +89,8 @@
             if self._folder.lock():
                 disk = open_log(self._folder, self._section.id, self.name)
                 self.service.close()
-                fresh = msgspec.structs.replace(self._setup, fresh=f"{self.name}.{self._setup.boot}")
+                boot = os.urandom(6).hex()  # what it asked before counts for another run
+                fresh = msgspec.structs.replace(self._setup, boot=boot, fresh=f"{self.name}.{boot}")
                 self.service = self.service_class(
                     self._loop, self._host.now, fresh, self._section.id, disk, self._told
                 )
--- a/pebblepass/peers/links.py
+++ b/pebblepass/peers/links.py
@@ -37,6 +37,8 @@
     fleet: str
     version: int
     name: str
+    boot: str
+    """The run of the process."""
 
 
 _hello = msgspec.msgpack.Decoder(Hello)
@@ -56,6 +58,7 @@
         self._links, self.expected = links, expected
         self.name = ""
         """Who is on the other side; empty until it has said so."""
+        self.boot = ""
         self._transport: asyncio.Transport | None = None
         self._held = b""
         self._waiting: asyncio.TimerHandle | None = None
@@ -67,7 +70,7 @@
         if not self._links.came(self):
             self.close("too many strangers")
             return
-        wire.write(framed(_encode(Hello(self._links.fleet, VERSION, self._links.name))))
+        wire.write(framed(_encode(Hello(self._links.fleet, VERSION, self._links.name, self._links.boot))))
 
     def data_received(self, data: bytes) -> None:
         """Cut what came into messages."""
@@ -99,7 +102,7 @@
         elif not self._links.known(hello.name) or (self.expected and hello.name != self.expected):
             self.close(f"a stranger: {hello.name!r}")
         else:
-            self.name = hello.name
+            self.name, self.boot = hello.name, hello.boot
             if self._waiting is not None:
                 self._waiting.cancel()
             self._links.up(self)
@@ -138,16 +141,18 @@
         loop: asyncio.AbstractEventLoop,
         fleet: str,
         name: str,
+        boot: str,
         take: Callable[[str, bytes], None],
         known: Callable[[str], bool],
     ) -> None:
         """`take` gets each message with its sender's name, and raises ValueError where it can't be read."""
-        self.loop, self.fleet, self.name = loop, fleet, name
+        self.loop, self.fleet, self.name, self.boot = loop, fleet, name, boot
         self.take, self.known = take, known
         self.closed: Counter[str] = Counter()
         """Links closed and messages dropped, by cause."""
         self._dialled: dict[str, Link] = {}
         self._came: dict[str, Link] = {}
+        self._runs: dict[tuple[str, str], Link] = {}
         self._strangers: set[Link] = set()
         self._dialling: dict[str, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
@@ -202,6 +207,7 @@
         """The other side has said who it is; the newest link to a router counts."""
         self._strangers.discard(link)
         (self._dialled if link.expected else self._came)[link.name] = link
+        self._runs[link.name, link.boot] = link
 
     def down(self, link: Link) -> None:
         """A link is over."""
@@ -209,11 +215,25 @@
         for table in (self._dialled, self._came):
             if table.get(link.name) is link:
                 del table[link.name]
+        if self._runs.get((link.name, link.boot)) is link:
+            del self._runs[link.name, link.boot]
+            for table in (self._dialled, self._came):
+                other = table.get(link.name)
+                if other is not None and other.boot == link.boot:
+                    self._runs[link.name, link.boot] = other
         if link.expected and link.expected in self._lost:
             self._lost[link.expected].set()
 
-    def send(self, name: str, message: bytes) -> None:
-        """Send a message, by whichever link there is; it may be lost."""
+    def send(self, name: str, message: bytes, boot: str = "") -> None:
+        """Send a message, by whichever link there is; it may be lost.
+
+        `boot`: the run of its process that is meant; empty: the one that is dialled.
+        """
+        if boot:
+            meant = self._runs.get((name, boot))
+            if meant is not None:
+                meant.send(message)
+            return
         for table in (self._dialled, self._came):
             link = table.get(name)
             if link is not None and link.send(message):
--- a/pebblepass/trials/commands.py
+++ b/pebblepass/trials/commands.py
@@ -113,3 +113,34 @@
     took = time.monotonic() - begun
     click.echo(f"{count} schedules of {scenario}, {messages} messages, {took:.1f} s; {bad} broken")
     sys.exit(EXIT_BROKEN if bad else 0)
+
+
+@trial.command()
+@click.option("--routers", type=click.IntRange(1, 5), default=3, show_default=True)
+@click.option("--changes", type=click.IntRange(0, 4), default=2, show_default=True)
+@click.option("--crashes", type=click.IntRange(0, 4), default=1, show_default=True)
+@click.option("--losses", type=click.IntRange(0, 4), default=0, show_default=True, help="Messages lost.")
+@click.option("--repeats", type=click.IntRange(0, 4), default=0, show_default=True, help="Messages repeated.")
+@click.option("--times", type=click.IntRange(0, 12), default=3, show_default=True, help="Thirds of a lease.")
+@click.option("--states", type=click.IntRange(1), default=100_000, show_default=True, help="At most.")
+@click.option("--break", "broken", default="", help="A program that is broken in a known way.")
+def explore(
+    routers: int, changes: int, crashes: int, losses: int, repeats: int, times: int, states: int, broken: str
+) -> None:
+    """Take every order of what can happen to a small fleet. Exit codes as with `simulate`."""
+    from pebblepass.trials.explore import Bounds
+    from pebblepass.trials.explore import explore as search
+
+    if broken and broken not in VARIANTS:
+        _stop(f"no variant {broken!r}; there are {', '.join(VARIANTS)}")
+    begun = time.monotonic()
+    bounds = Bounds(routers, changes, crashes, losses, repeats, times, states)
+    found = search(bounds, VARIANTS.get(broken, SOUND))
+    took = time.monotonic() - begun
+    extent = "all there are" if found.whole else "not all there are"
+    click.echo(f"{found.states} states, {extent}, {found.depth} steps deep, {took:.1f} s")
+    if found.broken:
+        click.echo(f"broken: {found.broken}")
+        for step in found.path:
+            click.echo(f"    {step}")
+    sys.exit(EXIT_BROKEN if found.broken else 0)
--- a/pebblepass/trials/router.py
+++ b/pebblepass/trials/router.py
@@ -1,13 +1,16 @@
 """The daemon as a trial runs it: what it admits and promises is written down, and a part may be broken.
 
-    PEBBLEPASS_HISTORY=FILE [PEBBLEPASS_BREAK=NAME] python -m pebblepass.trials.router
+    PEBBLEPASS_HISTORY=FILE [PEBBLEPASS_BREAK=NAME] [PEBBLEPASS_KILL=STEP:N] \\
+        python -m pebblepass.trials.router
 
-Everything else is the daemon's own. Times are those of the machine's monotonic clock.
+With a step (check, prepare, accept, learn, or promised, took, decided: a write) the process is killed as it
+takes it for the Nth time. Everything else is the daemon's own. Times are those of the machine's clock.
 """
 
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -16,7 +19,7 @@
 from crc32c import crc32c
 
 from pebblepass.agreement import messages as m
-from pebblepass.agreement.member import Action, InForce, Member, Send
+from pebblepass.agreement.member import Action, InForce, Member, Send, Write
 from pebblepass.agreement.service import AgreementService
 from pebblepass.daemon import __main__ as daemon_main
 from pebblepass.daemon import fleet
@@ -28,6 +31,8 @@
 from pebblepass.trials.history import Event
 
 VARIANT = VARIANTS.get(os.environ.get("PEBBLEPASS_BREAK", ""), SOUND)
+STEP, _, _count = os.environ.get("PEBBLEPASS_KILL", "").partition(":")
+STEP_COUNT = int(_count or 1)
 # In one write each, behind one another: a kill tears the last line at most.
 _file = os.open(os.environ["PEBBLEPASS_HISTORY"], os.O_CREAT | os.O_WRONLY | os.O_APPEND, 0o600)
 _encode = msgspec.json.Encoder().encode
@@ -38,6 +43,15 @@
     os.write(_file, _encode(event) + b"\n")
 
 
+def _steps(action: Action) -> list[str]:
+    """The names of the steps that an action is."""
+    if isinstance(action, Send):
+        return [type(action.message.body).__name__.lower()]
+    if isinstance(action, Write):
+        return [type(record).__name__.lower() for record in action.records]
+    return []
+
+
 class RecordingHost(RouterHost):
     """Writes down each fetch that the decisions admit, with the time at which they looked at the clock."""
 
@@ -78,13 +92,26 @@
     """Writes down what is promised and what is decided."""
 
     member_class = VARIANT.member(Member)
-    _seen = 0
+    _seen = _taken = 0
+    _armed = False
+
+    async def propose(self, proposal: m.Proposal) -> m.Verdict:
+        """From the first proposal on its steps count."""
+        self._armed = bool(STEP)
+        return await super().propose(proposal)
 
     def _carry_out(self, actions: list[Action]) -> None:
-        for action in actions:
+        for at, action in enumerate(actions):
             if isinstance(action, Send):
                 self._record_vote(action.message)
-            elif isinstance(action, InForce) and action.value.version > self._seen:
+            if self._armed and STEP in _steps(action):
+                self._taken += 1
+                if self._taken == STEP_COUNT:
+                    super()._carry_out(actions[: at + 1])
+                    os.kill(os.getpid(), signal.SIGKILL)
+            if isinstance(action, Send):
+                continue
+            if isinstance(action, InForce) and action.value.version > self._seen:
                 self._seen = action.value.version
                 value = action.value
                 digest = f"{crc32c(m.encode(value)):08x}"
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -22,7 +22,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, name: str, fleet: str = "sofia") -> None:
         self.came: list[tuple[str, bytes]] = []
-        self.links = Links(loop, fleet, name, self._take, lambda other: other in ("r0", "r1"))
+        self.links = Links(loop, fleet, name, f"{name}.1", self._take, lambda other: other in ("r0", "r1"))
 
     def _take(self, name: str, data: bytes) -> None:
         if data == b"broken":
@@ -68,14 +68,20 @@
 @pytest.mark.parametrize(
     ("said", "cause"),
     [
-        (framed(msgspec.msgpack.encode(Hello("plovdiv", VERSION, "r1"))), "of fleet 'plovdiv', version 1"),
-        (framed(msgspec.msgpack.encode(Hello("sofia", VERSION + 1, "r1"))), "of fleet 'sofia', version 2"),
-        (framed(msgspec.msgpack.encode(Hello("sofia", VERSION, "r7"))), "a stranger"),
+        (
+            framed(msgspec.msgpack.encode(Hello("plovdiv", VERSION, "r1", "b"))),
+            "of fleet 'plovdiv', version 1",
+        ),
+        (
+            framed(msgspec.msgpack.encode(Hello("sofia", VERSION + 1, "r1", "b"))),
+            "of fleet 'sofia', version 2",
+        ),
+        (framed(msgspec.msgpack.encode(Hello("sofia", VERSION, "r7", "b"))), "a stranger"),
         (framed(b"\x80\x04K\x01."), "no hello"),
         (struct.pack("<I", MOST_BYTES + 1), "a message too long"),
         (b"GET / HTTP/1.1\r\n\r\n", "a message too long"),
         (
-            framed(msgspec.msgpack.encode(Hello("sofia", VERSION, "r1"))) + framed(b"broken"),
+            framed(msgspec.msgpack.encode(Hello("sofia", VERSION, "r1", "b"))) + framed(b"broken"),
             "a message that can't be read",
         ),
         (b"", "no hello"),
--- a/tests/trials/site.py
+++ b/tests/trials/site.py
@@ -55,6 +55,12 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.logs: dict[str, Path] = {}
         self.proposed: list[Event] = []
+        self.environ: dict[str, str] = {}
+        """Variables of the processes that are started from now on."""
+        self.held: tuple[int, ...] = ()
+        """Descriptors that they inherit."""
+        self.elders: list[subprocess.Popen[bytes]] = []
+        """Processes that another one of their name has been started beside."""
         self._stop = threading.Event()
         self._clients: list[threading.Thread] = []
 
@@ -87,6 +93,8 @@
         lines += ["[fleet.members]", *(f"{key} = {json.dumps(value)}" for key, value in members.items())]
         (home / "operator.toml").write_text("\n".join(["[fleet]", *lines]))
         self.logs[name] = home / "log"
+        if name in self.processes and self.processes[name].poll() is None:
+            self.elders.append(self.processes[name])
         with self.logs[name].open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", "pebblepass.trials.router"],
@@ -97,8 +105,10 @@
                     "PEBBLEPASS_OPERATOR": str(home / "operator.toml"),
                     "PEBBLEPASS_HISTORY": str(home / f"history.{time.monotonic_ns()}"),
                     "PEBBLEPASS_BREAK": self.variant,
+                    **self.environ,
                 },
                 stderr=log,
+                pass_fds=self.held,
             )
 
     def signal(self, name: str, how: signal.Signals) -> None:
@@ -165,7 +175,7 @@
     def close(self) -> None:
         """End all."""
         self._stop.set()
-        for process in self.processes.values():
+        for process in (*self.processes.values(), *self.elders):
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
                 process.kill()
--- a/tests/trials/test_processes.py
+++ b/tests/trials/test_processes.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import resource
 import shutil
 import signal
+import socket
 import threading
 import time
 from pathlib import Path
 
+from pebblepass.standins.ports import take_port
 from pebblepass.trials.checkers import check_all
 from tests.trials.site import LEASE_MS, fleet
 
@@ -157,6 +160,113 @@
         assert told["state"] == "in force"  # a version that says: c9 is nothing
 
 
+def test_a_proposer_that_is_killed_at_any_step_holds_up_nobody(tmp_path: Path) -> None:
+    steps = ("check:1", "prepare:1", "promised:1", "accept:1", "accept:2", "took:1", "decided:1", "learn:1")
+    with fleet(tmp_path) as site:
+        for number, step in enumerate(steps):
+            site.signal("r0", signal.SIGKILL)
+            site.environ = {"PEBBLEPASS_KILL": step}
+            site.start("r0")
+            version = site.ask("r1", "GET", "status")["version"]
+            site.wait(version)
+            assert site.propose("r0", f"c{number}", rate(number)) is None  # no answer: it is dead
+            site.processes["r0"].wait(20)
+            begun = time.monotonic()
+            while True:
+                told = [site.ask(name, "GET", "status") for name in ("r1", "r2")]
+                if all(each["in_force"] and not each["open"] for each in told):
+                    break
+                assert time.monotonic() - begun < 20, (step, told)
+            assert time.monotonic() - begun < 2 * (LEASE_MS / 1000 + 1), (
+                step
+            )  # twice the claim, for a busy machine
+            # What became of it is known, whoever is asked.
+            decided = told[0]["version"] > version
+            again = site.propose("r1", f"c{number}", rate(number))
+            assert again["state"] == "in force"
+            assert (again["version"] == version + 1) or not decided
+            site.environ = {}
+            site.start("r0")
+
+
+def test_a_change_on_each_side_of_a_cut_that_turns_round(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=7, voters=7) as site:
+        few, many = site.names[:3], site.names[3:]
+        site.relays.cut(*((a, b) for a in few for b in many), *((b, a) for a in few for b in many))
+        lone = threading.Thread(target=site.propose, args=("r0", "few", rate(1)))
+        lone.start()
+        assert site.propose("r6", "many", rate(2))["state"] == "in force"
+        lone.join()
+        site.relays.mend()
+        few, many = site.names[4:], site.names[:4]
+        site.wait(2)
+        site.relays.cut(*((a, b) for a in few for b in many), *((b, a) for a in few for b in many))
+        assert site.propose("r0", "other", rate(3))["state"] == "in force"
+        site.relays.mend()
+        site.wait(3)
+        told = {event.change: event.told for event in site.proposed if event.what == "verdict"}
+        assert told["few"] in ("refused", "open")
+        assert all(row["change"] != "few" for row in site.ask("r3", "GET", "history"))
+
+
+def test_a_disk_that_is_full_while_it_promises_costs_that_vote_and_nothing_else(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        # From now on no file of that process may grow: each write fails, as on a full disk.
+        resource.prlimit(site.processes["r2"].pid, resource.RLIMIT_FSIZE, (1, resource.RLIM_INFINITY))
+        assert site.propose("r0", "c1", rate(1))["state"] == "in force"
+        site.wait(2, "r0", "r1")
+        site.signal("r1", signal.SIGSTOP)
+        refused = site.propose("r0", "c2", rate(2))  # two of three are needed, and one can't promise
+        assert refused["state"] in ("refused", "open")
+        site.signal("r1", signal.SIGCONT)
+        limit = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+        resource.prlimit(site.processes["r2"].pid, resource.RLIMIT_FSIZE, limit)
+        end = time.monotonic() + 20
+        while site.propose("r2", f"c{time.monotonic()}", rate(7))["state"] != "in force":
+            assert time.monotonic() < end
+
+
+def test_sigterm_and_sighup_in_mid_change_end_in_good_order(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=4) as site:
+        asking = threading.Thread(target=site.propose, args=("r0", "c1", rate(1)))
+        asking.start()
+        site.signal("r1", signal.SIGHUP)
+        site.signal("r2", signal.SIGTERM)
+        asking.join()
+        assert site.processes["r2"].returncode == 0
+        site.wait(2, "r0", "r1", "r3")
+        site.start("r2")
+        site.wait(2)
+
+
+def test_an_upgrade_in_mid_change_votes_for_one_and_takes_the_promises_over(tmp_path: Path) -> None:
+    with fleet(tmp_path) as site:
+        site.signal("r2", signal.SIGTERM)
+        listen, _, link = site.ports["r2"]
+        with socket.create_server(("127.0.0.1", listen)) as held:
+            site.held = (held.fileno(),)
+            site.environ = {"LB_INHERITED_FD": str(held.fileno()), "TMPDIR": str(tmp_path)}
+            site.start("r2")
+            site.wait(1)
+            old = site.processes["r2"]
+            site.ports["r2"] = (listen, take_port(), link)  # the new process's control address
+            asking = threading.Thread(target=site.propose, args=("r0", "c1", rate(1)))
+            asking.start()
+            site.start("r2")
+            asking.join()
+            site.wait(2)
+            assert not site.ask("r2", "GET", "status")["votes"]  # the old one has the disk, and is the voter
+            old.send_signal(signal.SIGTERM)
+            assert old.wait(20) == 0
+            end = time.monotonic() + 20
+            while not site.ask("r2", "GET", "status")["votes"]:
+                assert time.monotonic() < end
+            site.signal("r1", signal.SIGKILL)  # from now on nothing is decided without it
+            while site.propose("r0", f"c{time.monotonic()}", rate(2))["state"] != "in force":
+                assert time.monotonic() < end
+            site.wait(3, "r0", "r2")
+
+
 def test_a_program_that_serves_on_when_cut_off_is_caught_by_its_history(tmp_path: Path) -> None:
     with fleet(tmp_path, variant="old-version-served-when-cut-off") as site:
         site.relays.cut(*((a, b) for a in site.names for b in site.names if "r2" in (a, b) and a != b))
