Tell a fleet's figures in OpenMetrics, and let a trial's processes have clocks of their own

Need: on-call staff scrape, and could only read the log's lines; clocks that run fast or slow were tried in schedules only.

Change: GET /control/policy/metrics by prometheus_client (version, in force, routers heard, steps, messages, writes and failed ones, links closed by cause).

Result: processes at 1.05 and 0.95 of the rate change three times while one is cut off with its lease: the checks hold.

--- a/pebblepass/daemon/fleet.py
+++ b/pebblepass/daemon/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -72,7 +73,8 @@
         self._ready_at = host.now() + int(section.alone_after_s * 1e9)
         self._was_ready = False
         self._told = Told(self._in_force, self._step)
-        self.steps: list[dict[str, Any]] = []
+        self.steps: Counter[str] = Counter()
+        """Steps of changes so far, by name."""
         self.service = self.service_class(loop, host.now, setup, section.id, disk, self._told)
         self._lock_timer: asyncio.TimerHandle | None = None
 
@@ -122,6 +124,7 @@
         self._host.tell(PolicyChanged(policy, action.until))
 
     def _step(self, note: Note) -> None:
+        self.steps[note.event] += 1
         told = {"event": note.event, "version": note.version, "peer": note.peer, "cause": note.cause}
         log.info("fleet: %s", msgspec.json.encode({k: v for k, v in told.items() if v}).decode())
 
@@ -138,6 +141,8 @@
         call, _, argument = path.removeprefix(CALLS).partition("/")
         if call in calls and method == calls[call][0]:
             return _page(200, calls[call][1]())
+        if call == "metrics" and method == "GET":
+            return self._metrics()
         if call in ("propose", "withdraw") and method == "POST":
             try:
                 proposal = self._proposal(call, argument, body)
@@ -147,6 +152,21 @@
             return _page(200 if verdict.state == "in force" else 409, msgspec.to_builtins(verdict))
         return Page(404, b"no such call\n")
 
+    def _metrics(self) -> Page:
+        from pebblepass.agreement.metrics import CONTENT_TYPE, Counted, exposition
+
+        member, now = self.service.member, self._host.now()
+        others = [name for name in member.decided.fleet.members if name != self.name]
+        told = Counted(
+            member.decided.version,
+            member.may_admit(now),
+            sum(member.view.alive(name, now) for name in others),
+            self.steps,
+            self.service.counts,
+            self.service.links.closed,
+        )
+        return Page(200, exposition(told), CONTENT_TYPE)
+
     def _proposal(self, call: str, change: str, body: bytes) -> m.Proposal:
         if call == "withdraw":
             who = body.decode("utf-8", "replace")[:200]
--- a/pebblepass/trials/router.py
+++ b/pebblepass/trials/router.py
@@ -4,7 +4,8 @@
         python -m pebblepass.trials.router
 
 With a step (check, prepare, accept, learn, or promised, took, decided: a write) the process is killed as it
-takes it for the Nth time. Everything else is the daemon's own. Times are those of the machine's clock.
+takes it for the Nth time. With PEBBLEPASS_CLOCK=1.05 its clock runs fast. All else is the daemon's own.
+Times in the history are the machine's.
 """
 
 from __future__ import annotations
@@ -12,11 +13,13 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from crc32c import crc32c
+from msgspec.structs import replace
 
 from pebblepass.agreement import messages as m
 from pebblepass.agreement.member import Action, InForce, Member, Send, Write
@@ -24,6 +27,7 @@
 from pebblepass.daemon import __main__ as daemon_main
 from pebblepass.daemon import fleet
 from pebblepass.daemon.daemon import Daemon
+from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.daemon.router import RouterHost
 from pebblepass.decisions import PolicyChanged
 from pebblepass.decisions import Send as SendRequest
@@ -38,9 +42,33 @@
 _encode = msgspec.json.Encoder().encode
 
 
+CLOCK = float(os.environ.get("PEBBLEPASS_CLOCK", "1"))
+_begun = time.monotonic_ns()
+
+
+def machine(at: int) -> int:
+    """The machine's time at a time of this process's clock, which may run fast or slow."""
+    return _begun + int((at - _begun) / CLOCK)
+
+
 def record(event: Event) -> None:
-    """Write a line of the history."""
-    os.write(_file, _encode(event) + b"\n")
+    """Write a line of the history; its time is one of this process's clock."""
+    os.write(_file, _encode(replace(event, at=machine(event.at))) + b"\n")
+
+
+def set_clock() -> None:
+    """Let this process's clock run at its own rate."""
+    if CLOCK != 1:
+        DaemonLoop.time_ns = staticmethod(_time_ns)
+        DaemonLoop.time = staticmethod(_time)
+
+
+def _time_ns() -> int:
+    return _begun + int((time.monotonic_ns() - _begun) * CLOCK)
+
+
+def _time() -> float:
+    return _time_ns() / 1e9
 
 
 def _steps(action: Action) -> list[str]:
@@ -138,6 +166,7 @@
 
 def main() -> int:
     """Run the router."""
+    set_clock()
     fleet.FleetPart.service_class = RecordingService
     daemon_main.daemon_class = RecordingDaemon
     told = msgspec.json.decode(Path(os.environ["LB_CONFIG"]).read_bytes())
--- a/tests/trials/test_processes.py
+++ b/tests/trials/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import resource
 import shutil
 import signal
@@ -10,6 +11,8 @@
 import time
 from pathlib import Path
 
+from prometheus_client.openmetrics.parser import text_string_to_metric_families
+
 from pebblepass.standins.ports import take_port
 from pebblepass.trials.checkers import check_all
 from tests.trials.site import LEASE_MS, fleet
@@ -19,6 +22,19 @@
     return f'who = "ana"\nwhy = "trial"\n[store]\nrate_per_s = {100 + number}\n'
 
 
+def scrape(ops: int) -> dict[str, float]:
+    """A router's metrics, by name and label."""
+    connection = http.client.HTTPConnection("127.0.0.1", ops, timeout=20)
+    connection.request("GET", "/control/policy/metrics")
+    read = connection.getresponse().read().decode()
+    told = text_string_to_metric_families(read)  # type: ignore[no-untyped-call]
+    rows = [row for family in told for row in family.samples]
+    return {
+        row.name + "".join(f"{{{key}={value}}}" for key, value in row.labels.items()): row.value
+        for row in rows
+    }
+
+
 def test_a_change_is_checked_by_all_decided_and_in_force_everywhere(tmp_path: Path) -> None:
     with fleet(tmp_path, routers=4) as site:  # r3 does not vote, and proposes all the same
         verdict = site.propose("r3", "c1", rate(1))
@@ -31,6 +47,11 @@
         assert rows[0]["difference"] == ["store.rate_per_s: as before -> 101.0"]
         assert site.propose("r0", "c1", rate(1))["version"] == 2  # asked again: the same change
         assert site.propose("r0", "c2", rate(1))["lines"] == ["refused: nothing would change"]
+        page = scrape(site.ports["r0"][1])
+        assert page["pebblepass_fleet_version"] == 2
+        assert page["pebblepass_fleet_in_force"] == 1
+        assert page["pebblepass_fleet_alive"] == 3
+        assert page["pebblepass_fleet_steps_total{event=in force}"] == 2
         # Something must have been admitted under each, or the checks have seen nothing.
         seen = {event.version for event in site.history() if event.what == "admit"}
         assert seen >= {1, 2}
@@ -267,6 +288,21 @@
             site.wait(3, "r0", "r2")
 
 
+def test_clocks_that_run_fast_and_slow_end_no_lease_too_late(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=4) as site:
+        for name, clock in (("r1", "1.05"), ("r2", "0.95"), ("r3", "0.95")):
+            site.signal(name, signal.SIGKILL)
+            site.environ = {"PEBBLEPASS_CLOCK": clock}
+            site.start(name)
+            site.wait(1, name)
+        for number in range(3):
+            # The slow one that does not vote is cut off with its lease, and the others go on at once.
+            site.relays.cut(*((a, b) for a in site.names for b in site.names if "r3" in (a, b) and a != b))
+            assert site.propose("r1", f"c{number}", rate(number))["state"] == "in force"
+            site.relays.mend()
+            site.wait(2 + number)
+
+
 def test_a_program_that_serves_on_when_cut_off_is_caught_by_its_history(tmp_path: Path) -> None:
     with fleet(tmp_path, variant="old-version-served-when-cut-off") as site:
         site.relays.cut(*((a, b) for a in site.names for b in site.names if "r2" in (a, b) and a != b))
