--- a/pebblepass/trials/broken.py
+++ b/pebblepass/trials/broken.py
@@ -98,8 +98,6 @@
 
     def admitter(self, sound: Any) -> Any:
         class Wall(sound):  # type: ignore[misc]
-            back = 0
-
             def admits(self, now: int) -> int:
                 # An operator's time service steps it by a few seconds.
                 return int(super().admits(now - (now // 3_000_000_000 % 2) * 2_000_000_000))
--- a/pebblepass/trials/history.py
+++ b/pebblepass/trials/history.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -41,9 +40,3 @@
             except msgspec.DecodeError:
                 break
     return sorted(found, key=lambda event: event.at)
-
-
-def as_dict(event: Event) -> dict[str, Any]:
-    """For a report."""
-    told: dict[str, Any] = msgspec.to_builtins(event)
-    return told
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -14,8 +14,6 @@
 from pebblepass.rehearsal.clock import VirtualLoop
 from tests.virtual import played
 
-ADDRESS = ("127.0.0.1", 0)
-
 
 class End:
     """One router's links, and what came."""
