Send nothing for who has left, and nothing on a connection with unread news

Ruled out by tests: a server that drains or moves while its dial is under way, reads in line for the store, followers of a fetch, what the kernel has whole. Change: attempts that wait are withdrawn with their request; Pool looks at a connection (poll, no wait) before each use and lets it rest for 10 ms after an answer; a write that the kernel takes nothing of never ran; Send.until; dials to a server that has left or moved are called off and counted at once.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -94,7 +94,7 @@
 
     __slots__ = (  # noqa: RUF023
         "id", "command", "reply", "deadline", "of_command",
-        "attempts", "out", "closed", "streaming", "accounted",
+        "attempts", "out", "closed", "streaming", "accounted", "unsent",
     )  # fmt: skip
 
     def __init__(
@@ -110,6 +110,17 @@
         self.of_command = of_command
         self.attempts = self.out = 0
         self.closed = self.streaming = self.accounted = False
+        self.unsent: list[Attempt] | None = None
+        """Attempts that had to wait before they could be sent, if there are any."""
+
+    def withdraw(self) -> None:
+        """It has its final answer, or nobody waits for it: what can be taken back is not sent.
+
+        Danger: a connection that comes up a second later would send an attempt that waits for it still.
+        """
+        unsent, self.unsent = self.unsent, None
+        for attempt in unsent or ():
+            attempt.withdraw()
 
 
 class Attempt(Exchange):
@@ -124,9 +135,17 @@
     _spared = False
 
     def __init__(
-        self, host: AttemptHost, request: OpenRequest, server: str, to_origin: bool, now: int
+        self,
+        host: AttemptHost,
+        request: OpenRequest,
+        server: str,
+        to_origin: bool,
+        now: int,
+        until: int = 0,
     ) -> None:
+        """`until`: the time after which it must not be sent any more; 0: there is none."""
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
+        self._until = until
         self._number = request.attempts
         self._sent_at, self._lag_before = now, host.lag.total(now)
         self.is_write = request.command.value is not None
@@ -147,8 +166,21 @@
 
     @property
     def wanted(self) -> bool:
-        """Whether its request has no final answer yet."""
-        return not self._request.closed
+        """Whether its request has no final answer yet, and the time in which it may be sent is not over."""
+        return not (self._request.closed or (self._until and self._host.now() >= self._until))
+
+    def waits(self) -> None:
+        """Be taken back with its request, as long as that can be done."""
+        if self._request.unsent is None:
+            self._request.unsent = []
+        self._request.unsent.append(self)
+
+    def withdraw(self) -> None:
+        """Take it back, unless it has left; what has not been sent tells nothing of its server."""
+        if self._part is None and not self.over:
+            if self.connection is None or self.connection.unsent:
+                self.spare(always=True)
+            super().withdraw()
 
     @property
     def streaming(self) -> bool:
@@ -216,6 +248,7 @@
         if self._timer is not None:
             self._timer.cancel()
         request.streaming = request.closed = True
+        request.withdraw()
         self._source, self._length = source, length
         self._came_at = self._host.loop.time()
         self._timer = self._host.loop.call_later(STALL_S, self._check_stall)
@@ -280,6 +313,7 @@
                 reply.cut_off()
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
+            request.withdraw()
             reply.send(resp.bulk(value))
             host.counters.answered[request.command.fields["c"]] += 1
             if ledger is not None:
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -404,8 +404,7 @@
         for key in self.parts.drop(read):
             key.made().end(Outcome.MOOT)
         for exchange in list(read.exchanges):
-            if exchange.connection is None:
-                exchange.end(Outcome.MOOT)
+            exchange.withdraw()
 
     def forget(self, read: ManyRead) -> None:
         """A command is over."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -290,6 +290,7 @@
         request.closed = request.accounted = True
         if isinstance(request.reply.source, Attempt):
             request.reply.source.client_left()
+        request.withdraw()
         self.settle(request)
         self.tell(ClientGone(request.id))
 
@@ -320,6 +321,7 @@
                 else:
                     self.ledger.fail(request_id, self.now(), failed)
             request.reply.send(data)
+            request.withdraw()
             self.settle(request)
 
     # The list of servers
@@ -427,7 +429,8 @@
             log.error("the module sent a request that is over")
             return
         now = self.now()
-        attempt = Attempt(self, request, action.server, action.server in self._origins, now)
+        to_origin = action.server in self._origins
+        attempt = Attempt(self, request, action.server, to_origin, now, action.until)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple, Protocol, cast
 
 from pebblepass.daemon.gathered import GatherBudget
+from pebblepass.daemon.unread import ANYTHING, looks
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import MAX_ANSWER
@@ -18,6 +19,9 @@
 IDLE_SHARE = 0.9  # of the time after which servers close idle connections; news of it may be under way
 SWEEP_S = 0.5
 NO_ROOM_S = 2.0  # after a server has turned a further connection away: others' idle ones close in seconds
+# Between an answer and the next request: a second answer may come some milliseconds late. Seen: 0.3 to 3.8.
+REST_S = 0.01
+WAKE_SLACK_S = 0.001  # loops count in whole milliseconds and round to the nearest
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
 log = logging.getLogger("pebblepass")
@@ -61,6 +65,14 @@
     crowded = False
     """Turned away with a new connection, the only one to this server."""
 
+    @property
+    def wanted(self) -> bool:
+        """Whether it is to be sent still, once there is a connection for it."""
+        return True
+
+    def waits(self) -> None:
+        """Take note that it waits for a connection, or for the kernel to take its last byte."""
+
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
         """Write the request down; called when the connection for it is at hand."""
@@ -100,6 +112,15 @@
             self.over, self.connection = True, None
             self.ended(outcome, answer)
 
+    def withdraw(self) -> None:
+        """Nobody wants it any more: end it, unless its last byte is with the kernel.
+
+        What the kernel has taken whole can't be taken back, and its answer still tells of its server. What it
+        has taken in part is never begun by its server: the connection's end takes it back.
+        """
+        if self.connection is None or self.connection.unsent:
+            self.give_up(Outcome.MOOT)
+
     def give_up(self, outcome: Outcome) -> None:
         """End it before its answer has come."""
         connection = self.connection
@@ -121,12 +142,14 @@
         self.idle_since = 0.0
         self.unsent = False
         self.retired = False
+        self._descriptor = -1
         self._kept = self._answering = False  # has served before; a part of the answer has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        self._descriptor = self.transport.get_extra_info("socket").fileno()
 
     def pause_writing(self) -> None:
         """Note that the kernel has not taken every byte."""
@@ -143,12 +166,25 @@
         """Whether it can take another exchange."""
         return not self.retired and self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing stands unread in the kernel: no end, no reset, no answer that belongs to nobody.
+
+        Danger: answers carry no id, so that a late second one would be taken for the next request's; and what
+        is written behind an end that nobody has read may have run, as far as this router can tell.
+        """
+        return not self.server.pool.unread(self._descriptor, ANYTHING)
+
     def start(self, exchange: Exchange) -> None:
         """Write an exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.transport.write(exchange.request_bytes(self.server.address))
-        if not self.unsent:
+        # Guards what may not be repeated: where the kernel takes nothing, nothing can have run.
+        self.unsent = self.unsent or self.transport.is_closing()
+        if self.unsent:
+            exchange.waits()
+        else:
             exchange.written()
 
     def close(self) -> None:
@@ -246,6 +282,7 @@
         self.pool, self.id, self.address, self.connect = pool, server_id, address, connect
         self.open = True
         self.idle: list[Connection] = []  # the one used last at the end: spares grow old and are retired
+        self.wake: asyncio.TimerHandle | None = None  # when a connection that rests may be used by who waits
         # Dictionaries keep the order in which things came: a set's is another one in each process.
         self.connections: dict[Connection, None] = {}
         self.dials: dict[asyncio.Task[None], None] = {}
@@ -275,6 +312,7 @@
         `gather`: bytes for long values that come without a length.
         """
         self.reports = reports
+        self.unread = looks(loop)
         self.gathered = GatherBudget(gather, MAX_ANSWER)
         self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
         self._idle_limit = idle_close * IDLE_SHARE
@@ -289,9 +327,10 @@
         if server is None:
             self._servers[server_id] = Server(self, server_id, address, connect)
             return
-        if server.address != address:
+        if server.address != address or server.connect is not connect:
+            # First: whoever is told of an attempt's end may submit another one.
+            server.address, server.connect = address, connect
             self._retire(server)
-            server.address = address
         server.open = True
 
     def unlist_server(self, server_id: str) -> None:
@@ -334,29 +373,76 @@
         if server is None or not server.open or self._closed:
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        oldest = self._loop.time() - self._idle_limit
-        while server.idle:
-            connection = server.idle.pop()
-            if connection.usable and connection.idle_since >= oldest:
-                connection.start(exchange)
-                return
-            connection.close()
+        connection = self._rested(server)
+        if connection is not None:
+            connection.start(exchange)
+            return
         server.waiting.append(exchange)
+        exchange.waits()
         self._dial_for(server)
 
+    def _rested(self, server: Server) -> Connection | None:
+        """Take the connection used last of those that may be used again."""
+        now = self._loop.time()
+        oldest, rested = now - self._idle_limit, now - REST_S
+        at = len(server.idle)
+        while at:
+            at -= 1
+            connection = server.idle[at]
+            if connection.idle_since > rested:
+                continue
+            del server.idle[at]
+            if connection.usable and connection.idle_since >= oldest and connection.quiet:
+                return connection
+            connection.close()
+        return None
+
+    def _next_waiting(self, server: Server) -> Exchange | None:
+        while server.waiting:
+            exchange = server.waiting.popleft()
+            if exchange.over:
+                continue
+            if exchange.wanted:
+                return exchange
+            # Danger: written all the same, it would be sent for a request that has its final answer.
+            exchange.end(Outcome.MOOT)
+        return None
+
+    def opened(self, connection: Connection) -> None:
+        """Give a new connection to who waits for one."""
+        server = connection.server
+        exchange = self._next_waiting(server) if connection.usable else None
+        if exchange is not None:
+            connection.start(exchange)
+        else:
+            self.released(connection)
+
     def released(self, connection: Connection) -> None:
-        """Give a free connection to who waits for one."""
+        """Keep a free connection, for a rest at first."""
         server = connection.server
         if not connection.usable:
             connection.close()
             return
-        while server.waiting:
-            exchange = server.waiting.popleft()
-            if not exchange.over:
-                connection.start(exchange)
-                return
         connection.idle_since = self._loop.time()
         server.idle.append(connection)
+        if server.waiting:
+            self._wake_for(server)
+
+    def _wake_for(self, server: Server) -> None:
+        """Come back when the connection that has rested longest may be used."""
+        if server.wake is None and server.idle:
+            left = server.idle[0].idle_since + REST_S - self._loop.time()
+            server.wake = self._loop.call_later(max(left, 0.0) + WAKE_SLACK_S, self._wake, server)
+
+    def _wake(self, server: Server) -> None:
+        server.wake = None
+        while (exchange := self._next_waiting(server)) is not None:
+            connection = self._rested(server)
+            if connection is None:
+                server.waiting.appendleft(exchange)
+                break
+            connection.start(exchange)
+        self._dial_for(server)
 
     def lost(self, connection: Connection) -> None:
         """Forget a connection that has ended."""
@@ -386,18 +472,21 @@
         self._closed = True
         self._sweep_timer.cancel()
         for server in list(self._servers.values()):
-            for dial in list(server.dials):
-                dial.cancel()
+            if server.wake is not None:
+                server.wake.cancel()
+            self._call_off(server)
             for connection in list(server.connections):
                 connection.close()
 
     def _dial_for(self, server: Server) -> None:
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
-        if self._closed:
+        if self._closed or not server.waiting:
             return
+        self._wake_for(server)
         most = server.most if self._loop.time() < server.most_until else PER_SERVER
-        while len(server.waiting) > len(server.dials) and server.held < most:
+        # Those that rest will do: a new one costs its server work, and takes as long.
+        while len(server.waiting) > len(server.dials) + len(server.idle) and server.held < most:
             if self._held >= self._limit and not self._evict():
                 return
             self._held += 1
@@ -433,10 +522,13 @@
         except (OSError, ValueError):
             pass  # a listed name that can't be one of a host raises UnicodeError: nobody is there either
         finally:
-            server.dials.pop(task, None)
             if connection is None:
+                # Guards the descriptors: a dial that is called off may have come up in this very turn.
+                connecting.add_done_callback(_hang_up)
                 connecting.cancel()
-                self._held -= 1
+            if task in server.dials:
+                del server.dials[task]
+                self._held -= connection is None
         if connection is None or not connection.usable:
             if connection is not None:
                 self._held -= 1
@@ -444,7 +536,7 @@
             return
         server.connections[connection] = None
         connection.retired = not server.open or server.address != address
-        self.released(connection)
+        self.opened(connection)
 
     def _dial_failed(self, server: Server) -> None:
         while server.waiting:
@@ -457,12 +549,21 @@
         self._dial_for(server)
         self._forget(server)
 
+    def _call_off(self, server: Server) -> None:
+        """End the dials under way; counted here, as one that has not begun yet never runs at all."""
+        for dial in server.dials:
+            dial.cancel()
+        self._held -= len(server.dials)
+        server.dials.clear()
+
     def _retire(self, server: Server) -> None:
         for connection in server.connections:
             connection.retired = True
         idle, server.idle = server.idle, []
         for connection in idle:
             connection.close()
+        # Danger: the failure of a dial to where it was would be held against where it is now.
+        self._call_off(server)
         waiting, server.waiting = server.waiting, deque()
         for exchange in waiting:
             exchange.end(Outcome.CONNECT_FAILED)
@@ -470,6 +571,8 @@
     def _forget(self, server: Server) -> None:
         if not server.open and not server.held:
             self._servers.pop(server.id, None)
+            if server.wake is not None:
+                server.wake.cancel()
 
     def _sweep(self) -> None:
         self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
@@ -478,3 +581,9 @@
             while server.idle and server.idle[0].idle_since < oldest:
                 server.idle.pop(0).close()
             self._dial_for(server)
+
+
+def _hang_up(connecting: asyncio.Task[tuple[asyncio.Transport, Connection]]) -> None:
+    """Close what a dial has brought that nobody waits for any longer."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[1].close()
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -383,6 +383,8 @@
     request: str
     server: str
     timeout: int = 0
+    until: int = 0
+    """Clock time after which it must not be sent any more, where it has to wait for a connection; 0: none."""
 
 
 class SendKeys(Struct, frozen=True):
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -473,6 +473,12 @@
             return True
         return here.zone == there.zone and (self.cls.group is Group.ZONE or here.cell == there.cell)
 
+    def repeat_until(self) -> int:
+        """Until when an attempt that is decided on now may leave; 0: as late as may be."""
+        if self.ran is None or self.cls.effect is not Effect.KEYED:
+            return 0
+        return self.ran[1] + self.cls.dedup_window
+
     def may_repeat(self) -> bool:
         """Whether it does no harm to try again, whatever became of the attempts before."""
         keyed_anywhere = self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
@@ -742,7 +748,8 @@
         request.sends += 1
         request.node, request.sent_at, request.out = node, self._now, True
         node.load += 1
-        self._actions.append(api.Send(request.id, node.entry.id, self._patience(request, node)))
+        patience = self._patience(request, node)
+        self._actions.append(api.Send(request.id, node.entry.id, patience, request.repeat_until()))
 
     def _usual(self, known: Pace, node: Node) -> tuple[float, float]:
         """The usual time of a server's answers and its spread: its own where they are longer than all's."""
--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -362,6 +362,16 @@
         super().close()
         self.network.close()
 
+    def unread(self, descriptor: int, events: int) -> int:
+        """Which of these events of `poll`, or errors, stand at a descriptor: by the count, as all here."""
+        held = self.network.by_fd.get(descriptor)
+        half = held.incoming if held is not None else None
+        if half is None:
+            return select.POLLNVAL
+        found = select.POLLIN if half.bytes or half.ended or half.reset else 0
+        found |= select.POLLRDHUP if half.ended or half.reset else 0
+        return found & events | (select.POLLERR | select.POLLHUP if half.reset else 0)
+
     def stall(self, seconds: float) -> None:
         """Let time go by within the callback that calls this, as work that holds up the loop does."""
         self._move(seconds)
--- /dev/null
+++ b/tests/daemon/test_crossings.py
@@ -0,0 +1,353 @@
+"""Two events that cross at a connection to a server, each order forced: a test for each suspect."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from pebblepass.daemon.upstream import REST_S
+from pebblepass.decisions import ServerState
+from tests.crossings import Bed, PeerLine, crossing
+
+LEFT_S = 0.3  # after which nothing is sent for a client that has left while its request waited
+LONG_DIALS = {"ceilings": {"mostTries": 4, "dialTimeoutNs": 5 * 10**9, "idleCloseNs": 10**10}}
+
+
+def one_way(effect: str, window_ns: int = 0, group: str = "all") -> dict[str, Any]:
+    """Settings with one class of this effect, under a name that tells nothing."""
+    cls = {"name": "x", "aimNs": 10**9, "giveUpNs": 2 * 10**9, "semantics": effect, "group": group}
+    return {"classes": [{**cls, "dedupWindowNs": window_ns}], **LONG_DIALS}
+
+
+@pytest.mark.parametrize("cls", ["get", "put", "once"])
+def test_what_waits_for_a_dial_is_not_sent_once_its_client_has_left(cls: str) -> None:
+    async def test(bed: Bed) -> None:
+        gate = bed.loop.gates[bed.caches["a"].address] = asyncio.Event()
+        client = await bed.client()
+        client.ask("r1", cls)
+        await bed.settle()
+        client.transport.abort()
+        await bed.wait(LEFT_S)
+        gate.set()
+        await bed.wait(1.0)
+        assert bed.seen == []
+        bed.nothing_held()
+
+    crossing(test, facts=LONG_DIALS)
+
+
+def test_a_write_that_waits_for_a_dial_to_the_store_is_not_sent_once_its_client_has_left() -> None:
+    async def test(bed: Bed) -> None:
+        gate = bed.loop.gates[bed.origin.address] = asyncio.Event()
+        client = await bed.client()
+        client.ask("w1", "put", value=b"v")
+        await bed.settle()
+        client.transport.abort()
+        await bed.wait(LEFT_S)
+        gate.set()
+        await bed.wait(1.0)
+        assert bed.seen == []
+        bed.nothing_held()
+
+    crossing(test, facts=LONG_DIALS)
+
+
+def test_a_request_whose_time_is_up_while_it_waits_for_a_dial_is_not_sent() -> None:
+    async def test(bed: Bed) -> None:
+        gate = bed.loop.gates[bed.caches["a"].address] = asyncio.Event()
+        client = await bed.client()
+        client.ask("r1", d=400)
+        await bed.wait(0.45)
+        assert len(client.answers()) == 1
+        gate.set()
+        await bed.wait(1.0)
+        assert bed.seen == []
+        assert len(client.answers()) == 1
+        bed.nothing_held()
+
+    crossing(test, facts=LONG_DIALS)
+
+
+def test_a_write_of_which_the_kernel_has_taken_a_part_is_taken_back_with_its_client() -> None:
+    async def test(bed: Bed) -> None:
+        # The peer reads nothing: the kernel's window is full before the last byte.
+        bed.origin.accepted = lambda line: line.transport.pause_reading()
+        client = await bed.client()
+        client.ask("w1", "put", value=b"v" * (64 << 10))
+        await bed.settle()
+        (line,) = bed.origin.lines
+        client.transport.abort()
+        await bed.settle()
+        line.transport.resume_reading()
+        await bed.wait(1.0)
+        assert bed.seen == []
+        assert bed.origin.lines == []
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_what_the_kernel_has_whole_is_not_taken_back_and_tells_of_its_server() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        client.ask("r1")
+        await bed.settle()
+        client.transport.abort()
+        await bed.settle()
+        line = bed.caches["a"].line("r1")
+        bed.caches["a"].serve(line, "r1")
+        await bed.settle()
+        assert bed.caches["a"].lines == [line], "its connection goes on"
+        bed.nothing_held()
+
+    crossing(test)
+
+
+@pytest.mark.parametrize("late_s", [0.0003, 0.002, 0.004])
+def test_a_late_second_answer_is_not_taken_for_the_next_requests(late_s: float) -> None:
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+        client.ask("r1")
+        await bed.settle()
+        cache.serve(cache.line("r1"), "r1")
+        await bed.settle()
+        client.ask("r2")
+        again = cache.line("r1").transport
+        bed.loop.call_later(late_s, again.write, cache.answer("r1"))
+
+        def serve_later(line: PeerLine, name: str) -> None:
+            bed.loop.call_later(0.005, cache.serve, line, name)
+
+        cache.came = serve_later
+        await bed.wait(REST_S * 5)
+        assert client.answers() == [b"value of r1", b"value of r2"]
+        bed.nothing_held()
+
+    crossing(test)
+
+
+@pytest.mark.parametrize("behind", ["second answer", "noise", "end", "reset"])
+@pytest.mark.parametrize("effect", ["retryable", "dedup", "fragile"])
+def test_what_stands_unread_behind_an_answer_costs_the_next_request_nothing(behind: str, effect: str) -> None:
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+        client.ask("r1", "x")
+        await bed.settle()
+        line = cache.line("r1")
+        cache.serve(line, "r1")
+        await bed.wait(REST_S * 2)
+        cache.came = cache.serve
+        # In one turn: the router reads its client first, which it has known for longer.
+        client.ask("r2", "x")
+        match behind:
+            case "second answer":
+                line.transport.write(cache.answer("r1"))
+            case "noise":
+                line.transport.write(b"!")
+            case "end":
+                line.transport.close()
+            case "reset":
+                line.reset()
+        await bed.wait(REST_S * 3)
+        assert client.answers() == [b"value of r1", b"value of r2"]
+        assert cache.names == ["r1", "r2"], "written once, on a connection of its own"
+        bed.nothing_held()
+
+    crossing(test, facts=one_way(effect, 10**9))
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_an_end_behind_the_last_byte_of_an_answer_takes_nothing_with_it(how: str) -> None:
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+        client.ask("r1", "once")
+        client.ask("r2", "once")  # waits for a connection, or has one of its own
+        await bed.settle()
+
+        def answer_and_end(line: PeerLine, name: str) -> None:
+            cache.serve(line, name)
+            line.transport.close()
+
+        for name in ("r1", "r2"):
+            answer_and_end(cache.line(name), name)
+        cache.came = cache.serve
+        await bed.settle()
+        client.ask("r3", "once")
+        await bed.wait(REST_S * 3)
+        assert client.answers() == [b"value of r1", b"value of r2", b"value of r3"]
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_a_request_that_the_kernel_does_not_take_has_never_run() -> None:
+    """A reset comes between the look and the write: what may not be repeated is asked again all the same."""
+
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+        client.ask("r1", "once")
+        await bed.settle()
+        line = cache.line("r1")
+        cache.serve(line, "r1")
+        await bed.wait(REST_S * 2)
+        cache.came, bed.origin.came = cache.serve, bed.origin.serve
+        bed.pool.unread = lambda descriptor, events: 0  # it looked too early
+        client.ask("r2", "once")
+        line.reset()
+        await bed.wait(REST_S * 3)
+        assert client.answers() == [b"value of r1", b"value of r2"]
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_a_repeat_that_waits_for_a_dial_is_not_sent_after_the_time_in_which_it_is_dropped() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        client.ask("r1", "x")
+        await bed.settle()
+        ((_, first, _),) = bed.seen
+        other = "b" if first == "a" else "a"
+        gate = bed.loop.gates[bed.caches[other].address] = asyncio.Event()
+        origin = bed.loop.gates[bed.origin.address] = asyncio.Event()
+        again = bed.loop.gates[bed.caches[first].address] = asyncio.Event()
+        await bed.wait(0.3)
+        bed.caches[first].line("r1").reset()  # it may have run
+        await bed.wait(0.3)
+        for each in (gate, again, origin):
+            each.set()
+        await bed.wait(0.5)
+        assert [name for _, _, name in bed.seen] == ["r1"]
+        assert len(client.answers()) == 1
+        bed.nothing_held()
+
+    crossing(test, caches=("a", "b"), facts=one_way("dedup", 500_000_000))
+
+
+def test_a_repeat_within_that_time_is_sent() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        client.ask("r1", "x")
+        await bed.settle()
+        ((_, first, _),) = bed.seen
+        for cache in bed.caches.values():
+            cache.came = cache.serve
+        bed.caches[first].line("r1").reset()
+        await bed.wait(0.3)
+        assert client.answers() == [b"value of r1"]
+        bed.nothing_held()
+
+    crossing(test, caches=("a", "b"), facts=one_way("dedup", 500_000_000))
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_what_waits_for_a_dial_to_a_server_that_drains_goes_elsewhere(state: ServerState) -> None:
+    async def test(bed: Bed) -> None:
+        bed.origin.came = bed.origin.serve
+        gate = bed.loop.gates[bed.caches["a"].address] = asyncio.Event()
+        client = await bed.client()
+        client.ask("r1")
+        await bed.settle()
+        bed.tell("a", state=state)
+        gate.set()
+        await bed.wait(0.2)
+        assert [where for _, where, _ in bed.seen] == ["origin"]
+        assert client.answers() == [b"value of r1"]
+        assert bed.caches["a"].lines == [], "what came up after all is closed"
+        bed.nothing_held()
+
+    crossing(test, facts=LONG_DIALS)
+
+
+def test_a_server_that_drains_and_is_back_elsewhere_in_one_turn_is_not_sent_to_at_the_old_address() -> None:
+    async def test(bed: Bed) -> None:
+        moved = bed.caches["b"]
+        moved.came, bed.origin.came = moved.serve, bed.origin.serve
+        old = bed.caches["a"].address
+        gate = bed.loop.gates[old] = asyncio.Event()
+        bed.tell("a", "origin", whole=True)  # "b" is gone; its address is where "a" will be
+        client = await bed.client()
+        client.ask("r1")
+        await bed.settle()
+        bed.tell("a", state=ServerState.DRAINING)
+        bed.caches["a"].address = moved.address
+        bed.tell("a")
+        client.ask("r2")
+        gate.set()
+        await bed.wait(REST_S * 5)
+        assert all(where != "a" for _, where, _ in bed.seen)
+        assert client.answers()[1] == b"value of r2"
+        bed.nothing_held()
+
+    crossing(test, caches=("a", "b"), facts=LONG_DIALS)
+
+
+def test_a_dial_that_is_called_off_in_the_turn_in_which_it_begins_leaves_no_count_behind() -> None:
+    async def test(bed: Bed) -> None:
+        bed.origin.came = bed.origin.serve
+        bed.loop.gates[bed.caches["a"].address] = asyncio.Event()
+        client = await bed.client()
+        client.ask("r1")
+        while not bed.pool._servers["a"].dials:
+            await asyncio.sleep(0)
+        bed.tell("a", state=ServerState.GONE)
+        await bed.wait(0.1)
+        assert client.answers() == [b"value of r1"]
+        assert bed.pool._held == 1, "the store's"
+        bed.nothing_held()
+
+    crossing(test, facts=LONG_DIALS)
+
+
+@pytest.mark.parametrize("stay", [False, True])
+def test_a_fetch_whose_client_has_left_is_begun_again_only_for_who_still_waits(stay: bool) -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.miss
+        first, second, third = await bed.client(), await bed.client(), await bed.client()
+        first.ask("r1")
+        await bed.settle()
+        second.ask("r2")
+        third.ask("r3")
+        await bed.wait(REST_S * 3)
+        assert sorted(cache.names) == ["r1", "r2", "r3"]
+        assert bed.origin.names == ["r1"]
+        third.transport.abort()
+        if not stay:
+            second.transport.abort()
+        await bed.settle()
+        bed.origin.came = bed.origin.serve
+        first.transport.abort()
+        await bed.settle()
+        bed.origin.serve(bed.origin.line("r1"), "r1")
+        await bed.wait(LEFT_S)
+        assert bed.origin.names == (["r1", "r2"] if stay else ["r1"])
+        assert second.answers() == ([b"value of r2"] if stay else [])
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_a_fetch_in_line_that_nobody_waits_for_any_longer_is_not_sent() -> None:
+    async def test(bed: Bed) -> None:
+        bed.caches["a"].came = bed.caches["a"].miss
+        bed.host._router._window = 1.0
+        first, second, third = await bed.client(), await bed.client(), await bed.client()
+        first.ask("r1", key="k1")
+        await bed.settle()
+        second.ask("r2", key="k2")
+        third.ask("r3", key="k2")
+        await bed.wait(REST_S * 3)
+        assert bed.caches["a"].names == ["r1", "r2", "r3"]
+        second.transport.abort()
+        third.transport.abort()
+        await bed.settle()
+        bed.origin.serve(bed.origin.line("r1"), "r1")
+        await bed.wait(1.0)
+        assert bed.origin.names == ["r1"]
+        assert first.answers() == [b"value of r1"]
+        bed.nothing_held()
+
+    crossing(test)
