Answer what crosses the router's end, and hear clients leave whose connection is not read

Change: before a connection is closed or evicted the router looks for unread bytes and hears them; the backlog is taken in before the listener closes; from 0.65 s on what still comes is refused, and 0.55 s beyond the longest deadline every open request gets its final answer; paused connections are looked at each 0.1 s for their client's end.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -5,12 +5,14 @@
 import asyncio
 import functools
 import logging
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from pebblepass.admission.places import Standing, makes_room
+from pebblepass.daemon.unread import ANYTHING, END, accept_rest, has_ended, looks
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
@@ -26,6 +28,8 @@
 COMMAND_S = 2.0  # in which a command must be whole; with a sweep's wait well within the 3 s of DAYS
 STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.5
+PAUSED_S = 0.1  # between two looks whether those have left that are not read: 0.3 s later nothing is sent
+MOST_ASKED = 4  # connections that are asked for their place before a newcomer has none
 REFUSERS, REFUSERS_SHARE = 32, 0.125  # places for those that are refused, and of all at most
 
 log = logging.getLogger("pebblepass")
@@ -165,6 +169,8 @@
         self._spoken = False  # it has brought a whole command
         self._starved = False  # waits for the budget
         self._last = False
+        self._ending = False  # it is closed for the router's own end, once it has nothing open
+        self._descriptor = -1
         self.refusing = False
         self.given = False
         """Whether it is on its way to another process."""
@@ -173,6 +179,7 @@
         """Take the transport."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        self._descriptor = self.transport.get_extra_info("socket").fileno()
         self.server.opened(self)
         if self._handed is not None and not self.transport.is_closing():
             self._go_on(self._handed)  # before anything further is read
@@ -213,6 +220,10 @@
         self.used_at = self.server.loop.time()
         fresh = not reader.need
         commands = reader.feed(data)
+        if len(commands) > 1 and self.client_has_left():
+            # Danger: what somebody has sent at once before going would be sent on for nobody.
+            self.abort()
+            return
         self._spoken = self._spoken or bool(commands)
         for words in commands:
             reply = Reply(self)
@@ -258,10 +269,10 @@
             reply.send(b"-ERR %b\r\n" % str(error).encode())
             reply.forgotten()
             return
-        if self.refusing:
+        if self.refusing or self.server.ending:
             self._last = True
             reply.send(b"-BUSY\r\n")
-            self.server.host.turned_away(command, refused="connections")
+            self.server.host.turned_away(command, refused="connections" if self.refusing else "router ends")
             reply.forgotten()
             return
         self.server.host.request_arrived(command, reply)
@@ -302,7 +313,10 @@
         if not replies:
             self.used_at = self.server.loop.time()
         if not replies and self._last and self.transport is not None:
-            self.transport.close()
+            # Danger: a request that has come meanwhile is taken, and the reset that answers unread bytes may
+            # take the last answer with it.
+            if not (self._ending and self.has_unread()):
+                self.transport.close()
         elif not replies and self.server.give is not None:
             self.server.loop.call_soon(self.hand_on)  # the answer has still to leave
         elif not self._reading:
@@ -328,11 +342,34 @@
         wanted = not (self.blocked or self._starved or self._reader.broken or full or self.given)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
+        if wanted and self.client_has_left():
+            # Danger: what it sent before it left would be sent on, however long ago that was.
+            self.server.loop.call_soon(self.abort)
+            return
         self._reading = wanted
         if wanted:
             self.transport.resume_reading()
         else:
             self.transport.pause_reading()
+            self.server.watch_paused()
+
+    def client_has_left(self) -> bool:
+        """Whether its end, or a reset, stands in the kernel, perhaps behind bytes that nobody has read."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return has_ended(self.server.unread(self._descriptor, END))
+
+    def has_unread(self) -> bool:
+        """Whether a client that is there has sent something that will be read in the next turn."""
+        if not self._reading or self.transport is None or self.transport.is_closing():
+            return False
+        found = self.server.unread(self._descriptor, ANYTHING)
+        return bool(found & select.POLLIN) and not has_ended(found)
+
+    @property
+    def paused(self) -> bool:
+        """Whether its end would not be heard."""
+        return not (self._reading or self.given or self.closed)
 
     @property
     def idle(self) -> bool:
@@ -352,10 +389,13 @@
         """Close once nothing is open; `even_midway`: also in the midst of a command."""
         if self.transport is None or self.closed:
             return
-        if not self.replies and (even_midway or not self._reader.need):
-            self.transport.close()
-        else:
-            self._last = even_midway or not self._reader.need or self._last
+        new = not (self._spoken or self.replies)
+        if not self.replies and (even_midway or not (self._reader.need or new)):
+            self._last = self._ending = True
+            if not self.has_unread():
+                self.transport.close()
+        elif self.replies and (even_midway or not self._reader.need):
+            self._last = self._ending = True
 
     def hand_on(self) -> None:
         """Give it to another process now, if nothing is open and little of a command has come.
@@ -448,7 +488,7 @@
         if self.idle:
             # Guards the limit and the memory against clients that connect and say nothing, or ask once
             # and keep their connection for good.
-            if now - self.used_at > IDLE_S and self.transport is not None:
+            if now - self.used_at > IDLE_S and self.transport is not None and not self.has_unread():
                 self.transport.close()
             return
         # One that waits for bytes to be set aside is owed an answer in the same time.
@@ -474,6 +514,11 @@
     ) -> None:
         """`limit` connections are served; `refusers` more are told that they are not."""
         self.loop, self.host, self._limit, self._refusers = loop, host, limit, refusers
+        self.unread = looks(loop)
+        self.ending = False
+        """Whether what still comes is refused: the router ends before it could be answered."""
+        self._paused_timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         self.many: Commands | None = None
         self.greeted = 0
         """Connections on which a client has said something beside requests."""
@@ -498,16 +543,32 @@
             goes.abort()
 
     def _goes(self) -> ClientConnection | None:
-        """Who makes room; never one that has come or written just now."""
+        """Who makes room; never one that has come or written just now, be it that nobody has read it yet."""
         now = self.loop.time()
-        return makes_room((held, held.standing, now - held.used_at) for held in self._connections)
+        for _ in range(MOST_ASKED):
+            goes = makes_room((held, held.standing, now - held.used_at) for held in self._connections)
+            if goes is None or not goes.has_unread():
+                return goes
+            goes.used_at = now
+        return None
+
+    def watch_paused(self) -> None:
+        """Look now and then whether clients have left whose connections are not read."""
+        if self._paused_timer is None:
+            self._paused_timer = self.loop.call_later(PAUSED_S, self._look_at_paused)
+
+    def _look_at_paused(self) -> None:
+        self._paused_timer = None
+        paused = [connection for connection in self._connections if connection.paused]
+        for connection in paused:
+            if connection.client_has_left():
+                connection.abort()
+        if paused:
+            self.watch_paused()
 
     async def adopt(self, sock: socket.socket, handed: Handed) -> None:
         """Go on with a connection of another process."""
-        try:
-            await self.loop.connect_accepted_socket(functools.partial(ClientConnection, self, handed), sock)
-        except OSError:
-            sock.close()
+        await self._adopt(sock, functools.partial(ClientConnection, self, handed))
 
     async def listen(self, at: Address | socket.socket) -> None:
         """Accept clients at this address, or on a socket that listens already."""
@@ -545,6 +606,24 @@
         """How many connections there are."""
         return len(self._connections)
 
+    def accept_rest(self) -> None:
+        """Take in whom the kernel has accepted for this listener, which is about to close."""
+        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost.
+        if self._listener is not None:
+            accept_rest(self.loop, self._listener, self._take_in)
+
+    def _take_in(self, sock: socket.socket) -> None:
+        make = functools.partial(ClientConnection, self)
+        task = self.loop.create_task(self._adopt(sock, make))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _adopt(self, sock: socket.socket, make: Callable[[], ClientConnection]) -> None:
+        try:
+            await self.loop.connect_accepted_socket(make, sock)
+        except OSError:
+            sock.close()
+
     def stop_accepting(self) -> None:
         """Accept nobody any longer."""
         self.draining = True
@@ -559,8 +638,9 @@
             connection.hand_on()
 
     def finish(self, even_midway: bool) -> None:
-        """Close all connections once they have nothing open."""
+        """Close all connections once they have nothing open; `even_midway`: and refuse what still comes."""
         self.give = None
+        self.ending = self.ending or even_midway
         for connection in list(self._connections):
             connection.finish(even_midway)
 
@@ -573,6 +653,8 @@
     def close(self) -> None:
         """Break all connections."""
         self._timer.cancel()
+        if self._paused_timer is not None:
+            self._paused_timer.cancel()
         self.stop_accepting()
         for connection in list(self._connections):
             connection.abort()
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -31,6 +31,7 @@
 MOST_SETTLING_S = 0.4
 ACCEPT_S = 0.5
 MIDWAY_S = 0.65
+ANSWER_SLACK_S = 0.55  # beyond the longest deadline: then what is open still gets its final answer
 KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
 DRAIN_STEP_S = 0.01
 RELOAD_TRIES, RELOAD_STEP_S = 20, 0.1  # for a file that is still being written
@@ -47,6 +48,13 @@
     return min(max(spent / (cores * START_SHARE) - spent, 0.0), MOST_SETTLING_S)
 
 
+async def news() -> None:
+    """Return once the sockets have been read: after a hold-up timers run first."""
+    # The first turn may come before the sockets are looked at, the second can't.
+    for _ in range(2):
+        await asyncio.sleep(0)
+
+
 class Daemon:
     """A router on a loop that it need not have for itself; the loop's time is its clock.
 
@@ -189,13 +197,21 @@
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
         if succession is None or not succession.leave():
             await asyncio.sleep(ACCEPT_S)
+            await news()
+            if succession is None:  # else the platform's socket goes on listening, and they wait there
+                self.clients.accept_rest()
+                await news()
             self.clients.stop_accepting()
             self.clients.finish(even_midway=False)
         while self.clients.connected and self._loop.time() < begun + longest + KILL_SLACK_S:
             await asyncio.sleep(DRAIN_STEP_S)
             # Those that another process takes over are closed by nobody.
             if self._loop.time() >= begun + MIDWAY_S and self.clients.give is None:
+                await news()
                 self.clients.finish(even_midway=True)
+            if self._loop.time() >= begun + longest + ANSWER_SLACK_S:
+                # Danger: a client may wait for longer than its class does, and SIGKILL does not.
+                self.host.end_open()
 
     def stop(self) -> None:
         """Break every connection, as the end of the process would: nothing is sent any more."""
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -178,7 +178,7 @@
         self.suspects: set[int] = set()
         """Numbers on which a part has broken: from then on they travel alone."""
         due = max(self.deadline - reads.margin, now)
-        self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self._time_up))
+        self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self.time_up))
 
     def info_for(self, left_ms: int) -> bytes:
         """The list to pass on while so much of its time is left."""
@@ -255,7 +255,7 @@
             self.reads.forget(self)
             reply.send(b"")
 
-    def _time_up(self) -> None:
+    def time_up(self) -> None:
         """What is not answered is late; nothing more is sent for it."""
         if self.over:
             return
@@ -532,6 +532,11 @@
         for key in self.parts.server_left(server):
             key.made().end(Outcome.CONNECT_FAILED)
 
+    def time_up(self) -> None:
+        """Give every command its answer now: what is not answered is late."""
+        for read in list(self._reads.values()):
+            read.time_up()
+
     def abandon(self) -> None:
         """The router ends."""
         for read in list(self._reads.values()):
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -92,6 +92,9 @@
     def left(self, server: str) -> None:
         """A server drains or is gone: nothing that waits for it is sent there."""
 
+    def time_up(self) -> None:
+        """Give every command its answer now, with what there is."""
+
     def abandon(self) -> None:
         """The router ends."""
 
@@ -294,6 +297,15 @@
         self.settle(request)
         self.tell(ClientGone(request.id))
 
+    def end_open(self) -> None:
+        """The router's time is up: what is still owed an answer gets its final one now."""
+        if self.many is not None:
+            self.many.time_up()
+        for request in list(self._requests.values()):
+            if not request.closed:
+                self._answer(request.id, FAILED, failed="router ended")
+                self.tell(ClientGone(request.id))
+
     def abandon(self) -> None:
         """The router ends: what is still owed an answer has failed, whatever becomes of its connection."""
         if self.ledger is not None:
--- a/pebblepass/daemon/unread.py
+++ b/pebblepass/daemon/unread.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 ANYTHING = select.POLLIN | select.POLLRDHUP
 END = select.POLLRDHUP
@@ -41,3 +44,20 @@
 def has_ended(found: int) -> bool:
     """Whether the other side has ended its sending, or the connection is broken."""
     return bool(found & _ENDED)
+
+
+def accept_rest(
+    loop: asyncio.AbstractEventLoop, listener: asyncio.Server, take: Callable[[socket.socket], None]
+) -> None:
+    """Accept whoever waits at a listener for the loop to do so."""
+    of_loop = getattr(loop, "accept_rest", None)
+    for held in listener.sockets:
+        if of_loop is not None:
+            of_loop(held, take)
+            continue
+        # Nobody is left, or no descriptor is.
+        with socket.socket(fileno=os.dup(held.fileno())) as own, suppress(OSError):
+            while True:
+                sock, _ = own.accept()
+                sock.setblocking(False)
+                take(sock)
--- /dev/null
+++ b/tests/daemon/test_ends.py
@@ -0,0 +1,357 @@
+"""A router's end, and clients' ends, that cross requests: each order forced, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+import pytest
+
+from pebblepass.daemon.clients import IDLE_S, MAX_PIPELINE, SWEEP_S
+from pebblepass.daemon.daemon import ACCEPT_S, ANSWER_SLACK_S, KILL_SLACK_S, MIDWAY_S
+from pebblepass.rehearsal.clock import CountedSocket
+from tests.crossings import ADDRESS, Bed, ClientLine, PeerLine, asked, crossing
+
+LEFT_S = 0.3  # after which nothing is sent for a client that has left while its request waited
+KILLED_S = 0.7  # beyond the longest deadline: SIGKILL comes no sooner
+LONGEST_S = 2.0  # the longest deadline of these tests' settings
+ROOM: Any = {"sockets": 1024.0, "memory_mb": 192.0}
+
+
+def counted(line: ClientLine) -> CountedSocket:
+    return cast(CountedSocket, line.transport.get_extra_info("socket")._sock)
+
+
+class Sender:
+    """A client that sends a request at a stated time, if the router's machine takes it still."""
+
+    def __init__(self, bed: Bed, line: ClientLine, name: str, at: float) -> None:
+        self.bed, self.line, self.name = bed, line, name
+        self.taken = False
+        bed.loop.call_at(at, self.send)
+
+    def send(self) -> None:
+        if self.line.transport.is_closing():
+            return
+        out = counted(self.line).outgoing
+        assert out is not None
+        # One that the router has closed in this very turn is a crossing that PROTOCOL leaves to the client.
+        self.taken = any(
+            held.transport.get_extra_info("socket")._sock is out.reader
+            for held in self.bed.daemon.clients._connections
+            if held.transport is not None and not held.transport.is_closing()
+        )
+        if self.taken:
+            self.line.transport.write(asked(self.name, key=self.name))
+
+
+# Clients that leave
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_nothing_is_sent_for_who_left_while_its_connection_was_not_read(reset: bool) -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        first = [f"r{i}" for i in range(MAX_PIPELINE)]
+        client.transport.write(b"".join(asked(name, key=name) for name in first))
+        await bed.settle()
+        behind = [f"b{i}" for i in range(50)]
+        client.transport.write(b"".join(asked(name, key=name) for name in behind))
+        await bed.settle()
+        if reset:
+            client.transport.abort()
+        else:
+            client.transport.close()
+        left_at = bed.loop.time()
+        await bed.wait(LEFT_S)
+        held = len(bed.seen)
+        bed.caches["a"].came = bed.caches["a"].serve
+        for line in list(bed.caches["a"].lines):
+            bed.caches["a"].serve(line, line.asked[-1])
+        await bed.wait(LONGEST_S)
+        assert [name for at, _, name in bed.seen if at > left_at + LEFT_S] == []
+        assert len(bed.seen) == held
+        bed.nothing_held()
+
+    crossing(test, **ROOM)
+
+
+def test_nothing_is_sent_for_who_left_while_it_took_nothing_of_its_answers() -> None:
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+
+        def serve_much(line: PeerLine, name: str) -> None:
+            line.transport.write(cache.answer(name, b"v" * 60_000))
+
+        cache.came = serve_much
+        client.transport.pause_reading()
+        for i in range(8):
+            client.ask(f"r{i}", key=f"k{i}")
+            await bed.wait(0.02)
+        assert next(iter(bed.daemon.clients._connections)).blocked
+        cache.came = lambda line, name: None
+        client.ask("late", key="late")
+        await bed.settle()
+        client.transport.close()
+        await bed.wait(LEFT_S)
+        seen = len(bed.seen)
+        await bed.wait(LONGEST_S)
+        assert len(bed.seen) == seen
+        assert "late" not in cache.names
+        assert bed.daemon.clients.connected == 0
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_what_is_sent_at_once_by_who_goes_is_not_sent_on() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        client.transport.write(b"".join(asked(f"r{i}", key=f"r{i}") for i in range(100)))
+        client.transport.close()
+        await bed.wait(LONGEST_S)
+        assert bed.seen == []
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_requests_that_wait_for_places_are_not_sent_once_their_client_has_left() -> None:
+    """More requests than one server may have connections: the rest wait for one of them to come free."""
+
+    async def test(bed: Bed) -> None:
+        bed.tell("origin", whole=True)
+        bed.tell("a")
+        client = await bed.client()
+        for i in range(40):
+            client.ask(f"r{i}", key="k")
+        await bed.settle()
+        held = list(bed.seen)
+        assert 0 < len(held) < 40
+        client.transport.abort()
+        await bed.wait(LEFT_S)
+        for line in list(bed.caches["a"].lines):
+            bed.caches["a"].serve(line, line.asked[-1])
+        await bed.wait(LONGEST_S)
+        assert bed.seen == held
+        bed.nothing_held()
+
+    crossing(test)
+
+
+# Places
+
+
+def test_a_connection_whose_request_nobody_has_read_makes_no_room() -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.serve
+        clients = bed.daemon.clients
+        clients.limit = 2
+        old, young = await bed.client(), await bed.client()
+        for line, name in ((old, "r1"), (young, "r2")):
+            line.ask(name, key=name)
+            await bed.wait(0.1)
+        await bed.wait(0.4)
+        # In one turn: a newcomer is accepted first, as the listener is older, and the oldest has just asked.
+        newcomer = bed.loop.create_task(bed.loop.create_connection(ClientLine, ADDRESS, bed.port))
+        old.ask("r3", key="r3")
+        await bed.wait(0.1)
+        _, third = await newcomer
+        cast(ClientLine, third).ask("r4", key="r4")
+        await bed.wait(0.1)
+        assert old.answers() == [b"value of r1", b"value of r3"]
+        assert cast(ClientLine, third).answers() == [b"value of r4"]
+        assert young.ended
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_answered() -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.serve
+        began = bed.loop.time()
+        senders = []
+        for i in range(200):
+            line = await bed.client()
+            line.ask(f"first{i}", key=f"k{i}")
+            senders.append(Sender(bed, line, f"r{i}", began + IDLE_S + i * SWEEP_S / 100))
+        await bed.wait(IDLE_S + 4 * SWEEP_S)
+        taken = [sender for sender in senders if sender.taken]
+        assert 0 < len(taken) < len(senders)
+        assert [sender.name for sender in taken if len(sender.line.answers()) != 2] == []
+        bed.nothing_held()
+
+    crossing(test, **ROOM)
+
+
+# SIGTERM
+
+
+def drain(bed: Bed) -> asyncio.Task[None]:
+    """What the process does at SIGTERM, up to its end."""
+
+    async def ends() -> None:
+        await bed.daemon.drain()
+        bed.daemon.stop()
+
+    return bed.loop.create_task(ends())
+
+
+@pytest.mark.parametrize("held_up", [0.0, 0.06])
+def test_every_request_that_crosses_the_end_of_the_router_is_answered(held_up: float) -> None:
+    """Clients send on idle connections, one each millisecond round every step of the drain."""
+
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.serve
+        lines = [await bed.client() for _ in range(300)]
+        for i, line in enumerate(lines):
+            line.ask(f"first{i}", key=f"k{i}")
+        await bed.wait(0.05)
+        began = bed.loop.time()
+        task = drain(bed)
+        senders = [
+            Sender(bed, line, f"r{i}", began + ACCEPT_S - 0.1 + i / 1000) for i, line in enumerate(lines)
+        ]
+        if held_up:
+            for step in (ACCEPT_S, MIDWAY_S):
+                bed.loop.call_at(began + step - held_up / 2, bed.loop.stall, held_up)
+        await bed.wait(LONGEST_S + KILLED_S)
+        assert task.done()
+        taken = [sender for sender in senders if sender.taken]
+        assert len(taken) > 80
+        assert [sender.name for sender in taken if len(sender.line.answers()) != 2] == []
+
+    crossing(test, **ROOM)
+
+
+@pytest.mark.parametrize("held_up", [0.0, 0.06])
+def test_whoever_is_let_in_before_the_listener_closes_is_answered(held_up: float) -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.serve
+        began = bed.loop.time()
+        task = drain(bed)
+        answered: dict[int, list[bytes]] = {}
+
+        async def come(number: int) -> None:
+            await asyncio.sleep(ACCEPT_S - 0.05 + number / 2000)
+            try:
+                line = await bed.client()
+            except ConnectionRefusedError:
+                return
+            line.ask(f"r{number}", key=f"k{number}")
+            answered[number] = []
+            await asyncio.sleep(0.5)
+            answered[number] = line.answers()
+
+        if held_up:
+            bed.loop.call_at(began + ACCEPT_S - held_up / 2, bed.loop.stall, held_up)
+        coming = [bed.loop.create_task(come(number)) for number in range(200)]
+        await asyncio.gather(*coming)
+        assert 80 <= len(answered) < 200
+        assert {number: said for number, said in answered.items() if len(said) != 1} == {}
+        await task
+
+    crossing(test, **ROOM)
+
+
+def test_a_client_that_keeps_its_connection_busy_gets_every_answer_and_then_its_end() -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+
+        def serve_late(line: PeerLine, name: str) -> None:
+            bed.loop.call_later(0.2, cache.serve, line, name)
+
+        cache.came = serve_late
+        line = await bed.client()
+        sent: list[str] = []
+        began = bed.loop.time()
+
+        def keep_on(number: int) -> None:
+            out = counted(line).outgoing if not line.transport.is_closing() else None
+            if out is not None and out.reader is not None:
+                sent.append(f"r{number}")
+                line.ask(sent[-1], key=f"k{number}")
+                bed.loop.call_later(0.02, keep_on, number + 1)
+
+        keep_on(0)
+        await bed.wait(0.3)
+        task = drain(bed)
+        await bed.wait(LONGEST_S + KILLED_S)
+        assert task.done()
+        assert len(sent) > 30
+        assert len(line.answers()) == len(sent)
+        assert line.ended
+        assert bed.loop.time() - began < LONGEST_S + KILLED_S + 0.4
+
+    crossing(test, **ROOM)
+
+
+@pytest.mark.parametrize("d", [100, 1200, 2000, 8000])
+@pytest.mark.parametrize("where", ["cache", "store"])
+def test_servers_that_hang_for_all_of_the_drain_leave_no_request_without_its_answer(
+    d: int, where: str
+) -> None:
+    """Also one whose client waits for longer than its class does: SIGKILL does not wait for it."""
+
+    async def test(bed: Bed) -> None:
+        if where == "store":
+            bed.caches["a"].came = bed.caches["a"].miss
+        line = await bed.client()
+        line.ask("r1", d=d)
+        line.ask("r2", "once", d=d, key="k2")
+        await bed.settle()
+        task = drain(bed)
+        last = await bed.client()
+        bed.loop.call_later(ACCEPT_S - 0.01, lambda: last.ask("r3", d=d, key="k3"))
+        await bed.wait(LONGEST_S + KILL_SLACK_S + 0.02)
+        assert len(line.answers()) == 2
+        assert len(last.answers()) == 1
+        assert line.ended
+        assert last.ended
+        assert task.done()
+        assert ANSWER_SLACK_S < KILL_SLACK_S < KILLED_S
+
+    crossing(test)
+
+
+def test_half_a_command_at_the_end_holds_up_nothing_and_a_whole_one_is_answered() -> None:
+    async def test(bed: Bed) -> None:
+        cache = bed.caches["a"]
+        cache.came = cache.serve
+        whole, half = await bed.client(), await bed.client()
+        request = asked("r1")
+        for line in (whole, half):
+            line.transport.write(request[:20])
+        await bed.settle()
+        task = drain(bed)
+        bed.loop.call_later(ACCEPT_S + 0.1, whole.transport.write, request[20:])
+        await bed.wait(MIDWAY_S + 0.1)
+        assert whole.answers() == [b"value of r1"]
+        assert half.answers() == []
+        assert half.ended
+        await bed.wait(0.1)
+        assert task.done()
+
+    crossing(test)
+
+
+def test_a_limit_of_time_that_ends_a_request_tells_the_module_too() -> None:
+    """Nothing is sent for it after its final answer, whatever its attempts come to."""
+
+    async def test(bed: Bed) -> None:
+        line = await bed.client()
+        line.ask("r1", d=8000)
+        await bed.settle()
+        task: Any = drain(bed)
+        bed.loop.call_later(LONGEST_S + ANSWER_SLACK_S + 0.05, bed.caches["a"].lines[0].reset)
+        await bed.wait(LONGEST_S + KILLED_S)
+        assert line.answers() == [b"-ERR failed"]
+        assert len(bed.seen) == 1
+        assert task.done()
+
+    crossing(test)
