Live through a SIGHUP at any moment of the start, and take it once the router runs

A reload before Discovery.start began a second watch beside it. Ruled out: SIGTERM before the loop (the default: nothing is taken yet), before the first list, twice, with a SIGHUP in between.

--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -71,8 +71,13 @@
     return FiguresService(loop, section, config.name, config.settings, time.time_ns, epoch)
 
 
-async def serve(config: Config, operator: OperatorFile, figures: FiguresService | None) -> None:
-    """Run until SIGTERM, and then until all that was taken is answered."""
+async def serve(
+    config: Config, operator: OperatorFile, figures: FiguresService | None, early: list[int]
+) -> None:
+    """Run until SIGTERM, and then until all that was taken is answered.
+
+    `early` notes a SIGHUP that has come since the files were read.
+    """
     loop = asyncio.get_running_loop()
     # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
     loop.set_exception_handler(
@@ -97,6 +102,8 @@
         loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", figures.line()))
         await figures.start(daemon.host.now, daemon.host.open_requests)
     await daemon.start()
+    if early:
+        reload()
     await terminated.wait()
     await daemon.drain()
     daemon.stop()
@@ -107,6 +114,9 @@
 
 def main() -> int:
     """Run the router; what can't be used is one plain line and exit code 2."""
+    # Danger: a SIGHUP that nobody takes yet ends the process, and one that is lost leaves it with the old file.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     with asyncio.Runner(loop_factory=DaemonLoop) as runner:
         try:
             config = load_config(os.environ)
@@ -121,7 +131,7 @@
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         try:
-            runner.run(serve(config, operator, figures))
+            runner.run(serve(config, operator, figures, early))
         except (OSError, ConfigError) as error:
             print(f"pebblepass: {error}", file=sys.stderr)
             return 2 if isinstance(error, ConfigError) else 1
--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -28,8 +28,8 @@
 
 
 # What a watch that has fallen silent misses counts as told 6 s after that, or 2 s after its call's wait, if
-# that is later. Pushed lists cost nothing: so short a wait that a second silence in a row is still heard of in
-# time. Where discovery is asked each call costs it work: one silence, and the pause that the module draws.
+# that is later. Pushed lists cost nothing: so short a wait that a second silence in a row is still heard of
+# in time. Where discovery is asked each call costs it work: one silence, and the pause that the module draws.
 PUSHED = Times(wait=2.0, slack=1.0, whole=1.0, connect=0.4)
 ASKED = Times(wait=20.0, slack=0.5, whole=2.0, connect=1.0)
 RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
@@ -251,8 +251,9 @@
         self.generation = 0
 
     def start(self) -> None:
-        """Follow the list."""
-        self._watch = self._begin(whole=True)
+        """Follow the list, unless a new configuration has begun that already."""
+        if self._watch is None:
+            self._watch = self._begin(whole=True)
 
     def subscribe(self) -> None:
         """Begin a watch, unless one is on where the list is now."""
--- /dev/null
+++ b/tests/daemon/test_signals.py
@@ -0,0 +1,145 @@
+"""Signals at stated points of a process's life: the router as the deploy file starts it."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import tomllib
+from pathlib import Path
+
+from pebblepass.standins.ports import take_port
+from tests.sockets import (
+    FACTS,
+    PATIENCE_S,
+    ROOT,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    entry,
+    eventually,
+    get,
+    hit,
+    is_ready,
+    routed,
+)
+
+
+def started(config: Path, folder: Path) -> subprocess.Popen[str]:
+    """The deploy file's own line, with this interpreter for the one that `build` lays down."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in run
+    return subprocess.Popen(
+        ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config), "TMPDIR": str(folder)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def told(port: int, discovery: DiscoveryPeer) -> str:
+    return json.dumps(
+        {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{discovery.peer.port}",
+            "settings": FACTS,
+        }
+    )
+
+
+def test_a_sighup_at_any_moment_of_the_start_does_not_end_it(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[1]))
+    discovery = DiscoveryPeer([entry(cache, "c1")])
+    port = take_port()
+    config = tmp_path / "config.json"
+    config.write_text(told(port, discovery))
+    process = started(config, tmp_path)
+    try:
+        # The shell has to set its trap: from the program's first instruction on a signal may come.
+        eventually(lambda: "python" in Path(f"/proc/{process.pid}/comm").read_text(), "the exec")
+
+        def ready() -> bool:
+            process.send_signal(signal.SIGHUP)
+            return process.poll() is not None or is_ready(port)
+
+        eventually(ready, "the router is ready")
+        client = Client(port)
+        assert client.ask(get("r1")) == b"k"
+        client.close()
+    finally:
+        process.terminate()
+        _, log = process.communicate(timeout=PATIENCE_S)
+        discovery.peer.close()
+        cache.close()
+    assert process.returncode == 0, log
+
+
+def test_a_sighup_while_the_file_is_being_read_is_taken_once_the_router_runs(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[1]))
+    before, after = DiscoveryPeer([entry(cache, "c1")]), DiscoveryPeer([entry(cache, "c1")])
+    port = take_port()
+    config = tmp_path / "config.json"
+    os.mkfifo(config)
+    process = started(config, tmp_path)
+    try:
+        with config.open("w") as pipe:  # opens once the router reads
+            renamed = tmp_path / "new.json"
+            renamed.write_text(told(port, after))
+            renamed.rename(config)
+            process.send_signal(signal.SIGHUP)
+            pipe.write(told(port, before))
+        eventually(lambda: after.peer.seen, "the new address is asked")
+    finally:
+        process.terminate()
+        _, log = process.communicate(timeout=PATIENCE_S)
+        for peer in (before.peer, after.peer, cache):
+            peer.close()
+    assert process.returncode == 0, log
+
+
+def test_sigterm_before_the_router_is_ready_ends_it_in_good_order(tmp_path: Path) -> None:
+    """No discovery answers: it listens, and is told to end while it still waits for its first list."""
+    port, nobody = take_port(), take_port()
+    config = tmp_path / "config.json"
+    config.write_text(
+        json.dumps({"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{nobody}", "settings": FACTS})
+    )
+    process = started(config, tmp_path)
+
+    def listens() -> bool:
+        try:
+            Client(port).close()
+        except OSError:
+            return False
+        return True
+
+    eventually(listens, "it listens")
+    process.send_signal(signal.SIGTERM)
+    _, log = process.communicate(timeout=PATIENCE_S)
+    assert process.returncode == 0, log
+    assert "Traceback" not in log
+
+
+def test_sigterm_twice_and_a_sighup_in_between_lose_nothing(tmp_path: Path) -> None:
+    let = threading.Event()
+
+    def held(_: object, words: list[bytes]) -> bytes:
+        let.wait(PATIENCE_S)
+        return hit(words[1])
+
+    cache = Peer(held)
+    with routed(tmp_path, {"c1": cache}) as router:
+        client = router.client()
+        client.send(get("r1"))
+        eventually(lambda: cache.seen, "the request is at the cache")
+        router.terminate()
+        router.process.send_signal(signal.SIGHUP)
+        router.terminate()
+        let.set()
+        assert client.answer() == b"k"
+        assert client.at_end()
+        client.close()
