--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -114,7 +114,7 @@
 
 def main() -> int:
     """Run the router; what can't be used is one plain line and exit code 2."""
-    # Danger: a SIGHUP that nobody takes yet ends the process, and one that is lost leaves it with the old file.
+    # Danger: a SIGHUP that nobody takes yet ends the process; one that is lost leaves it with the old file.
     early: list[int] = []
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     with asyncio.Runner(loop_factory=DaemonLoop) as runner:
