Search the orders of what happens to one request, with nine broken variants it must catch

Four events: marker long. Broken variants caught: what waited is sent, a try after the answer, deaf to drains, a stale connection counted as never run, late answers taken, two answers, a repeat after its window, closed unheard, a spoilt connection kept. The orders of four events were not run yet.

--- /dev/null
+++ b/tests/daemon/test_orders.py
@@ -0,0 +1,388 @@
+"""A search over the orders of what can happen to one request, judged by the rules from what the peers saw.
+
+Each run puts some events in one order, in one loop turn, one after another, or with time between them. The
+judge knows nothing of the router: only when requests came whole to servers, what was told, what clients got.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+import pytest
+
+from pebblepass.daemon import attempts, caches, clients, daemon, router, upstream
+from pebblepass.daemon.daemon import ACCEPT_S, Daemon
+from pebblepass.decisions import Outcome, ServerState
+from tests.crossings import Bed, ClientLine, PeerLine, crossing
+
+LEFT_S, SLACK_S = 0.3, 0.05
+D_MS = 600  # the clients' time
+WINDOW_S = 0.25  # of the keyed class
+EVENTS = (
+    *("answer", "again", "miss", "fin", "reset", "drain", "gone"),
+    *("leave", "late", "term", "next", "up", "shut", "meet"),
+)
+GAPS = (0.0, -1.0, 0.004, 0.32)
+"""Between two events: in one turn, once all is settled, within a rest, or long; seconds."""
+EFFECTS = ("retryable", "dedup", "fragile")
+
+
+class Order(NamedTuple):
+    """One run."""
+
+    events: tuple[str, ...]
+    gaps: tuple[float, ...]
+    effect: str
+    warm: bool
+    """Whether a connection to a server stands, kept from an earlier request; else dials hang at first."""
+
+
+def orders(length: int) -> Iterator[Order]:
+    """Every order of so many events round the request, with gaps, effects and warmth by turns."""
+    draw = random.Random(7)
+    for events in itertools.permutations(EVENTS, length):
+        for at in range(2):
+            placed = (*events[:at], "ask", *events[at:])
+            gaps = tuple(draw.choice(GAPS) for _ in placed)
+            yield Order(placed, gaps, draw.choice(EFFECTS), draw.random() < 0.6)
+
+
+class Run:
+    """One order, played."""
+
+    def __init__(self, bed: Bed, order: Order) -> None:
+        self.bed, self.order = bed, order
+        self.cache, self.other = bed.caches["a"], bed.caches["b"]
+        self.gate = asyncio.Event()
+        self.asked_at: dict[str, float] = {}
+        self.left_at: dict[str, float] = {}
+        self.of: dict[str, ClientLine] = {}
+        self.told: dict[str, float] = {}
+        self.answered: list[str] = []
+        """Requests whose whole answer a server has written."""
+        self.ends_at = float("inf")
+        self.never: set[str] = set()
+        """Requests of which a server has said that they had no effect."""
+
+    async def play(self) -> None:
+        """Play it, and let everything come to its end."""
+        bed, order = self.bed, self.order
+        bed.origin.came = self.serve
+        self.clients = [await bed.client(), await bed.client()]
+        if order.warm:
+            self.cache.came = self.other.came = self.serve
+            self.of["r0"] = self.clients[0]
+            self.ask("r0", self.clients[0])
+            await bed.wait(0.05)
+            self.cache.came = self.other.came = lambda line, name: None
+            self.gate.set()
+        for peer in (self.cache, self.other):
+            bed.loop.gates[peer.address] = self.gate
+        for event, gap in zip(order.events, order.gaps, strict=True):
+            self.happen(event)
+            if gap < 0:
+                await bed.settle()
+            elif gap:
+                await bed.wait(gap)
+        self.gate.set()
+        self.cache.came = self.other.came = self.serve
+        await bed.wait(3.0)
+
+    def serve(self, line: PeerLine, name: str) -> None:
+        self.answered.append(name)
+        line.peer.serve(line, name)
+
+    def ask(self, name: str, line: ClientLine) -> None:
+        if line.transport.is_closing():
+            return
+        self.asked_at[name] = self.bed.loop.time()
+        line.ask(name, "x", d=D_MS)
+        self.of[name] = line
+
+    def meet(self) -> None:
+        """A request in the very turn in which the router closes what is idle."""
+        line = self.clients[0]
+        if line.transport.is_closing() or "r3" in self.asked_at:
+            return
+        out = line.transport.get_extra_info("socket")._sock.outgoing
+        if out.reader is not None:  # else the router's machine takes it no longer
+            self.ask("r3", line)
+
+    def newest(self) -> PeerLine | None:
+        """The connection of a cache's on which something was asked last."""
+        used = [line for peer in (self.cache, self.other) for line in peer.lines if line.asked]
+        return max(used, key=lambda line: line.peer.seen[-1][0], default=None)
+
+    def happen(self, event: str) -> None:
+        bed, line = self.bed, self.newest()
+        match event:
+            case "ask":
+                self.ask("r1", self.clients[0])
+            case "next":
+                self.ask("r2", self.clients[1])
+            case "answer" if line is not None and line.asked[-1] not in self.answered:
+                self.serve(line, line.asked[-1])
+            case "again" if line is not None and line.asked[-1] in self.answered:
+                line.transport.write(line.peer.answer(line.asked[-1]))
+            case "miss" if line is not None and line.asked[-1] not in self.answered:
+                self.answered.append(line.asked[-1])
+                self.never.add(line.asked[-1])
+                line.peer.miss(line, line.asked[-1])
+            case "fin" if line is not None:
+                line.transport.close()
+            case "reset" if line is not None:
+                line.reset()
+            case "drain" | "gone":
+                bed.tell("a", state=ServerState.DRAINING if event == "drain" else ServerState.GONE)
+                self.told.setdefault("a", bed.loop.time())
+            case "leave":
+                for name, client in self.of.items():
+                    if client is self.clients[0]:
+                        self.left_at[name] = bed.loop.time()
+                self.clients[0].transport.abort()
+            case "late":
+                bed.loop.stall(0.2)
+            case "term":
+                self.ending = bed.loop.create_task(bed.daemon.drain())
+                self.ends_at = bed.loop.time()
+            case "up":
+                self.gate.set()
+            case "shut":
+                self.gate.clear()
+            case "meet" if self.ends_at < float("inf"):
+                bed.loop.call_at(self.ends_at + ACCEPT_S, self.meet)
+
+    def judge(self) -> list[str]:
+        """What broke a rule."""
+        found: list[str] = []
+        seen = self.bed.seen
+        for name, asked_at in self.asked_at.items():
+            mine = [(at, where) for at, where, whose in seen if whose == name]
+            line = self.of[name]
+            names = [each for each, client in self.of.items() if client is line]
+            got = line.answers()[names.index(name) :][:1]
+            due = asked_at + D_MS / 1000 + SLACK_S
+            if name in self.left_at:
+                sent = [at for at, _ in mine if at > self.left_at[name] + LEFT_S]
+                if sent:
+                    found.append(f"{name}: sent {sent} after its client left at {self.left_at[name]}")
+            # A hold-up of the loop is charged to it: nothing can be sent or said in it.
+            late = [at for at, _ in mine if at > due + 0.2 * ("late" in self.order.events)]
+            if late:
+                found.append(f"{name}: sent at {late} after its time {due}")
+            ran = [(at, where) for at, where in mine if name not in self.never]
+            if self.order.effect == "fragile" and len(ran) > 1:
+                found.append(f"{name}: may have run {len(ran)} times: {ran}")
+            if self.order.effect == "dedup" and ran and ran[-1][0] > ran[0][0] + WINDOW_S + SLACK_S:
+                found.append(f"{name}: repeated after the window: {ran}")
+            if self.order.effect == "fragile" and ran and any(said.startswith(b"-BUSY") for said in got):
+                found.append(f"{name}: refused, and it may have run")
+            if name in self.left_at and self.left_at[name] >= asked_at:
+                continue
+            if len(got) != 1 or not (got[0] == f"value of {name}".encode() or got[0].startswith(b"-")):
+                found.append(f"{name}: answered {got}, of {line.answers()}")
+        for server, at in self.told.items():
+            for sent_at, where, whose in seen:
+                if where == server and sent_at > at + SLACK_S:
+                    found.append(f"{whose}: sent to {server} {sent_at - at:.3f} s after it was told")
+        for client in self.clients:
+            own = sorted(name for name, line in self.of.items() if line is client)
+            if len(client.answers()) > len(own):
+                found.append(f"answers to nobody: {client.answers()} for {own}")
+        return found
+
+
+def played(order: Order, daemon_class: type[Daemon] = Daemon) -> list[str]:
+    """Play an order; returns what broke a rule, or was left behind."""
+    found: list[str] = []
+
+    async def test(bed: Bed) -> None:
+        run = Run(bed, order)
+        await run.play()
+        found.extend(run.judge())
+        try:
+            bed.nothing_held()
+        except AssertionError as error:
+            found.append(f"left behind: {error}")
+
+    cls = {"name": "x", "aimNs": 10**9, "giveUpNs": 10**9, "semantics": order.effect, "group": "all"}
+    ceilings = {"mostTries": 4, "dialTimeoutNs": 2 * 10**9, "idleCloseNs": 10**10, "retryAfter": True}
+    facts = {"classes": [{**cls, "dedupWindowNs": int(WINDOW_S * 1e9)}], "ceilings": ceilings}
+    crossing(test, ("a", "b"), facts, daemon_class)
+    return found
+
+
+SHARDS = 8
+
+
+@pytest.mark.parametrize("shard", range(SHARDS))
+def test_no_order_of_two_events_round_a_request_breaks_a_rule(shard: int) -> None:
+    for number, order in enumerate(orders(2)):
+        if number % SHARDS == shard:
+            assert played(order) == [], order
+
+
+@pytest.mark.parametrize("shard", range(SHARDS))
+def test_no_order_of_three_events_round_a_request_breaks_a_rule(shard: int) -> None:
+    for number, order in enumerate(orders(3)):
+        if number % (SHARDS * 3) == shard * 3:
+            assert played(order) == [], order
+
+
+@pytest.mark.long
+@pytest.mark.parametrize("shard", range(SHARDS * 3))
+def test_no_order_of_four_events_round_a_request_breaks_a_rule(shard: int) -> None:
+    for number, order in enumerate(orders(4)):
+        if number % (SHARDS * 3) == shard:
+            assert played(order) == [], order
+
+
+# Broken variants, each of which the search must catch
+
+
+@contextmanager
+def sends_what_waited() -> Iterator[None]:
+    """An attempt that waits for a connection is sent though its client has left."""
+
+    def next_waiting(self: Any, server: Any) -> Any:
+        while server.waiting:
+            exchange = server.waiting.popleft()
+            if not exchange.over:
+                return exchange
+        return None
+
+    with (
+        patch.object(upstream.Pool, "_next_waiting", next_waiting),
+        patch.object(attempts.OpenRequest, "withdraw", lambda self: None),
+    ):
+        yield
+
+
+@contextmanager
+def tries_after_the_answer() -> Iterator[None]:
+    """A request that failed is sent once more behind its final answer."""
+    whole = router.RouterHost._answer
+
+    def answer(self: Any, request_id: str, data: bytes, refused: str = "", failed: str = "") -> None:
+        request = self.request(request_id)
+        whole(self, request_id, data, refused, failed)
+        if request is not None and failed and self._pool._servers:
+            attempt = attempts.Attempt(self, request, "origin", True, self.now())
+            self.loop.call_later(0.2, self._pool.submit, "origin", attempt)
+
+    class Forward(attempts.Attempt):
+        wanted = True
+
+    with patch.object(router.RouterHost, "_answer", answer), patch.object(attempts, "Attempt", Forward):
+        yield
+
+
+@contextmanager
+def deaf_to_drains() -> Iterator[None]:
+    """A server that drains is sent to as before."""
+    whole = router.RouterHost.servers_changed
+
+    def changed(self: Any, listing: Any) -> bool:
+        if any(server.state is not ServerState.READY for server in listing.change.servers):
+            return True
+        return whole(self, listing)
+
+    with patch.object(router.RouterHost, "servers_changed", changed):
+        yield
+
+
+@contextmanager
+def stale_never_ran() -> Iterator[None]:
+    """A kept connection that breaks without an answer counts as one that never ran."""
+    whole = upstream.Exchange.end
+
+    def end(self: Any, outcome: Outcome, answer: Any = upstream.NOTHING) -> None:
+        whole(self, Outcome.CONNECT_FAILED if self.stale and outcome is Outcome.RESET else outcome, answer)
+
+    with patch.object(upstream.Exchange, "end", end):
+        yield
+
+
+@contextmanager
+def takes_late_answers() -> Iterator[None]:
+    """A connection is used again at once, whatever stands unread on it."""
+    with patch.object(upstream, "REST_S", 0.0), patch.object(upstream.Connection, "quiet", True):
+        yield
+
+
+@contextmanager
+def closes_unheard() -> Iterator[None]:
+    """At the router's end a connection is closed whatever stands unread on it, and the backlog with it."""
+
+    async def no_news() -> None:
+        pass
+
+    with (
+        patch.object(clients.ClientConnection, "has_unread", lambda self: False),
+        patch.object(clients.ClientServer, "accept_rest", lambda self: None),
+        patch.object(daemon, "news", no_news),
+    ):
+        yield
+
+
+@contextmanager
+def answers_twice() -> Iterator[None]:
+    """A second answer stands behind the first."""
+    whole = clients.Reply.send
+
+    def send(self: Any, data: bytes) -> None:
+        whole(self, data + (b"-ERR again\r\n" if data.startswith(b"$") else b""))
+
+    with patch.object(clients.Reply, "send", send):
+        yield
+
+
+@contextmanager
+def repeats_after_the_window() -> Iterator[None]:
+    """A repeat that had to wait leaves however late it is."""
+    with patch.object(attempts.Attempt, "wanted", property(lambda self: not self._request.closed)):
+        yield
+
+
+@contextmanager
+def keeps_what_was_spoilt() -> Iterator[None]:
+    """A connection on which an answer came that nobody asked for goes on as if nothing had."""
+    whole = caches.CacheConnection.data_received
+
+    def received(self: Any, data: bytes) -> None:
+        if self.exchange is None:
+            self._cutter.feed(data)
+            return
+        whole(self, data)
+
+    with patch.object(caches.CacheConnection, "data_received", received):
+        yield
+
+
+BROKEN: dict[str, Callable[[], AbstractContextManager[None]]] = {
+    "sends what waited": sends_what_waited,
+    "tries after the answer": tries_after_the_answer,
+    "deaf to drains": deaf_to_drains,
+    "stale never ran": stale_never_ran,
+    "takes late answers": takes_late_answers,
+    "answers twice": answers_twice,
+    "closes unheard": closes_unheard,
+    "repeats after the window": repeats_after_the_window,
+    "keeps what was spoilt": keeps_what_was_spoilt,
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_the_search_catches_what_is_known_to_be_broken(name: str) -> None:
+    with ExitStack() as stack:
+        stack.enter_context(BROKEN[name]())
+        for order in itertools.chain(orders(2), orders(3)):
+            if played(order):
+                return
+    raise AssertionError("no order shows it")
