Let a new process that is told to end give nothing back to the one it has come to

Seen by test, forced: SIGTERM to the process that comes, while its channel to the old one stands, made Handover.can_give true (old state LEAVING, the channel of the other role), so that it went on accepting to its end and said it was ready. Ruled out: an end or reset unread on a connection that is given away and taken back (the client's requests are not sent). Change: only a process that has come to none may give. The test was seen to fail without the line.

--- a/pebblepass/handover/parts.py
+++ b/pebblepass/handover/parts.py
@@ -78,8 +78,9 @@
 
     @property
     def can_give(self) -> bool:
-        """Whether there is a process that takes connections."""
-        return self._old.state in (Old.YIELDING, Old.LEAVING) and self._channel is not None
+        """Whether there is a process that takes connections; never the one that this one has come to."""
+        leaves = self._old.state in (Old.YIELDING, Old.LEAVING)
+        return leaves and self._new.state is New.ALONE and self._channel is not None
 
     async def begin(self) -> None:
         """Look for a process that is there, and learn what it knows; returns when that is settled."""
--- a/tests/daemon/test_ends.py
+++ b/tests/daemon/test_ends.py
@@ -139,6 +139,34 @@
     crossing(test)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_connection_that_another_process_could_not_have_is_left_if_its_client_has(reset: bool) -> None:
+    """Its end came while it was on its way, and nobody read it."""
+
+    async def test(bed: Bed) -> None:
+        cache, client, clients = bed.caches["a"], await bed.client(), bed.daemon.clients
+        cache.came = cache.serve
+        client.ask("r1")
+        await bed.settle()
+        given: list[Any] = []
+        clients.hand_on(given.append)
+        assert len(given) == 1
+        client.ask("r2")
+        if reset:
+            client.transport.abort()
+        else:
+            client.transport.close()
+        await bed.wait(LEFT_S)
+        clients.give = None
+        given[0].taken_back()
+        await bed.wait(LEFT_S)
+        assert cache.names == ["r1"]
+        assert clients.connected == 0
+        bed.nothing_held()
+
+    crossing(test)
+
+
 # Places
 
 
--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -173,6 +173,36 @@
         assert served(next_ops) == 1
 
 
+def test_a_new_process_that_is_told_to_end_gives_nothing_back_and_the_old_one_serves_on(
+    tmp_path: Path,
+) -> None:
+    waiting: list[socket.socket] = []
+
+    def cache(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        if words[1] == b"slow":
+            waiting.append(connection)
+            return None
+        return hit(b"quick")
+
+    with site(tmp_path, {"s1": Peer(cache)}) as made:
+        _, before = made.start()
+        new, ops = made.start()
+        eventually(lambda: not is_yes(before), "the old one's word that it takes nothing new")
+        client = made.client()
+        client.send(get("q1", "slow"))
+        eventually(lambda: waiting, "the request at its server")
+        new.send_signal(signal.SIGTERM)
+        eventually(lambda: not is_yes(ops), "the new one's word that it takes nothing new")
+        assert new.poll() is None, "it has an answer to give still"
+        waiting[0].sendall(hit(b"late"))
+        assert client.answer() == b"late"
+        assert client.at_end()
+        new.communicate(timeout=PATIENCE_S)
+        assert new.returncode == 0
+        eventually(lambda: is_yes(before), "the old one's word that it serves again")
+        assert made.client().ask(get("q2")) == b"quick"
+
+
 def test_a_process_killed_outright_leaves_a_door_that_keeps_nobody(tmp_path: Path) -> None:
     with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as made:
         old, _ = made.start()
