Answer a request that bears the name of the router's own timer, and hold the term of 0.3 s

Seen by test: a request whose id is 'subscribe' (clients choose ids) and that waits on a timer was never answered: the module took its timer for that of the list (Router._timer). Ruled out: other names. Change: the timer does both.

--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -669,7 +669,7 @@
         if token == "subscribe":
             self._asking = False
             self._actions.append(api.Subscribe())
-            return
+            # Danger: clients name their requests; one of this name has timers too, and must have its answer.
         request = self._requests.get(token)
         if request and request.lined:
             self._give_up(request, Reason.LIMIT)
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -20,6 +20,7 @@
 
 SETTLED = 24  # turns in which all that is under way has come: nothing here takes virtual time
 ADDRESS = "127.0.0.1"
+LONG_DIALS = {"ceilings": {"mostTries": 4, "dialTimeoutNs": 5 * 10**9, "idleCloseNs": 10**10}}
 
 
 class GatedLoop(VirtualLoop):
--- a/tests/daemon/test_crossings.py
+++ b/tests/daemon/test_crossings.py
@@ -9,10 +9,10 @@
 
 from pebblepass.daemon.upstream import REST_S
 from pebblepass.decisions import ServerState
-from tests.crossings import Bed, PeerLine, crossing
+from tests.crossings import LONG_DIALS, Bed, PeerLine, crossing
+from tests.sockets import http_answer
 
 LEFT_S = 0.3  # after which nothing is sent for a client that has left while its request waited
-LONG_DIALS = {"ceilings": {"mostTries": 4, "dialTimeoutNs": 5 * 10**9, "idleCloseNs": 10**10}}
 
 
 def one_way(effect: str, window_ns: int = 0, group: str = "all") -> dict[str, Any]:
@@ -351,3 +351,20 @@
         bed.nothing_held()
 
     crossing(test)
+
+
+@pytest.mark.parametrize("name", ["subscribe", "r1"])
+def test_a_request_that_waits_on_a_timer_is_answered_whatever_its_name(name: str) -> None:
+    async def test(bed: Bed) -> None:
+        def not_now(line: PeerLine, name: str) -> None:
+            line.transport.write(http_answer(503, b"", "Not-Started: 1"))
+
+        bed.origin.came = not_now
+        client = await bed.client()
+        client.ask(name, "put", d=1900, value=b"v")
+        await bed.wait(2.0)
+        assert len(bed.seen) > 1, "it was tried again after a pause"
+        assert len(client.answers()) == 1
+        bed.nothing_held()
+
+    crossing(test)
--- a/tests/daemon/test_ends.py
+++ b/tests/daemon/test_ends.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from contextlib import ExitStack
 from typing import Any, cast
+from unittest.mock import patch
 
 import pytest
 
+from pebblepass.daemon import attempts, clients
 from pebblepass.daemon.clients import IDLE_S, MAX_PIPELINE, SWEEP_S
 from pebblepass.daemon.daemon import ACCEPT_S, ANSWER_SLACK_S, KILL_SLACK_S, MIDWAY_S
 from pebblepass.rehearsal.clock import CountedSocket
-from tests.crossings import ADDRESS, Bed, ClientLine, PeerLine, asked, crossing
+from tests.crossings import ADDRESS, LONG_DIALS, Bed, ClientLine, PeerLine, asked, crossing
+from tests.sockets import http_answer
 
 LEFT_S = 0.3  # after which nothing is sent for a client that has left while its request waited
 KILLED_S = 0.7  # beyond the longest deadline: SIGKILL comes no sooner
@@ -383,3 +388,83 @@
         assert task.done()
 
     crossing(test)
+
+
+# The 0.3 s term, all of it at once
+
+
+def storm(seed: int) -> tuple[list[str], int]:
+    """Clients leave at any moment while dials hang, reads wait in line, timers run, and reading is paused.
+
+    Returns the requests first sent later than 0.3 s after their client left, and how many were sent at all.
+    """
+    late: list[str] = []
+    sent: set[str] = set()
+
+    async def test(bed: Bed) -> None:
+        draw = random.Random(seed)
+        cache, origin = bed.caches["a"], bed.origin
+        gates = {peer.address: asyncio.Event() for peer in (cache, bed.caches["b"], origin)}
+        bed.loop.gates.update(gates)
+        bed.host._router._window = 2.0
+        cache.came = bed.caches["b"].came = cache.miss
+
+        def busy(line: PeerLine, name: str) -> None:
+            # A write is tried again after a pause, a read waits for the next place.
+            delay = draw.uniform(0.0, 0.4)
+            bed.loop.call_later(delay, line.transport.write, http_answer(503, b"", "Not-Started: 1"))
+
+        origin.came = busy
+        left: dict[str, float] = {}
+
+        async def client(number: int) -> None:
+            line = await bed.client()
+            await asyncio.sleep(draw.uniform(0, 0.5))
+            names = [f"r{number}.{i}" for i in range(draw.choice([1, 1, 3, MAX_PIPELINE + 40]))]
+            cls = draw.choice(["get", "put", "once"])
+            value = b"v" if cls != "get" and draw.random() < 0.5 else None
+            half = min(len(names), MAX_PIPELINE)
+            for part in (names[:half], names[half:]):
+                line.transport.write(b"".join(asked(n, cls, key=n, value=value) for n in part))
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(draw.uniform(0, 0.8))
+            left.update(dict.fromkeys(names, bed.loop.time()))
+            (line.transport.abort if draw.random() < 0.5 else line.transport.close)()
+
+        async def swing() -> None:
+            for _ in range(20):
+                for gate in gates.values():
+                    (gate.set if draw.random() < 0.5 else gate.clear)()
+                await asyncio.sleep(0.1)
+            for gate in gates.values():
+                gate.set()
+
+        await asyncio.gather(swing(), *(client(number) for number in range(40)))
+        await bed.wait(3.0)
+        first: dict[str, float] = {}
+        for at, _, name in bed.seen:
+            first.setdefault(name, at)
+        sent.update(first)
+        late.extend(name for name, at in first.items() if at > left[name] + LEFT_S)
+        bed.nothing_held()
+
+    crossing(test, ("a", "b"), LONG_DIALS, **ROOM)
+    return late, len(sent)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_request_is_first_sent_later_than_the_term_after_its_client_left(seed: int) -> None:
+    late, sent = storm(seed)
+    assert late == []
+    assert sent > 20
+
+
+@pytest.mark.parametrize("broken", ["waits", "paused"])
+def test_the_storm_catches_a_router_that_sends_for_who_has_left(broken: str) -> None:
+    with ExitStack() as stack:
+        if broken == "waits":
+            stack.enter_context(patch.object(attempts.Attempt, "wanted", True))
+            stack.enter_context(patch.object(attempts.OpenRequest, "withdraw", lambda self: None))
+        else:
+            stack.enter_context(patch.object(clients.ClientConnection, "client_has_left", lambda self: False))
+        assert any(storm(seed)[0] for seed in range(6))
