Test that repeats go by effect and group, and what a restart and an endless answer leave

Ruled out by these tests: second sends by read or write or by a class's name (safe, unsafe and keyed classes, groups all, zone and cell, reads and writes); a spoilt answer that never ends on a connection whose attempt was given up; a server that is gone and back under its id in one loop turn.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -175,6 +175,8 @@
         self.loop, self.daemon, self.caches, self.origin = loop, daemon, caches, origin
         self.generation = 0
         self.port = 0
+        self.cells: dict[str, tuple[str, int]] = {}
+        """Zones and cells of the servers that are not in cell 0 of zone a."""
 
     @property
     def host(self) -> Any:
@@ -189,7 +191,9 @@
         self.generation += 1
         peers = {**self.caches, "origin": self.origin}
         servers = tuple(
-            Server(name, "origin" if name == "origin" else "std", state, zone="a") for name in names
+            Server(name, "origin" if name == "origin" else "std", state, zone=zone, cell=cell)
+            for name in names
+            for zone, cell in [self.cells.get(name, ("a", 0))]
         )
         kind = ListKind.FULL if whole else ListKind.DELTA
         taken: bool = self.host.servers_changed(
--- a/tests/daemon/test_crossings.py
+++ b/tests/daemon/test_crossings.py
@@ -368,3 +368,105 @@
         bed.nothing_held()
 
     crossing(test)
+
+
+GROUPS = [
+    ("retryable", "all", ["same cell", "same zone", "other zone"]),
+    ("fragile", "all", []),
+    ("dedup", "all", ["same cell", "same zone", "other zone"]),
+    ("dedup", "zone", ["same cell", "same zone"]),
+    ("dedup", "cell", ["same cell"]),
+]
+CELLS = {"same cell": ("z1", 1), "same zone": ("z1", 2), "other zone": ("z2", 3)}
+
+
+@pytest.mark.parametrize("other", CELLS)
+@pytest.mark.parametrize(("effect", "group", "again"), GROUPS)
+def test_repeats_of_reads_go_by_the_effect_and_its_group(
+    effect: str, group: str, again: list[str], other: str
+) -> None:
+    """What may have run at one server, of a class whose name tells nothing, and whether it may come again."""
+
+    async def test(bed: Bed) -> None:
+        bed.cells = {**CELLS, "first": ("z1", 1)}
+        bed.tell("first", whole=True)
+        client = await bed.client()
+        client.ask("r1", "x")
+        await bed.settle()
+        bed.tell("first", other, whole=True)
+        bed.caches[other].came = bed.caches[other].serve
+        bed.caches["first"].came = lambda line, name: line.reset()
+        bed.caches["first"].line("r1").reset()
+        await bed.wait(0.2)
+        came = [where for _, where, _ in bed.seen if where != "first"]
+        assert came == ([other] if other in again else [])
+        if other in again:
+            assert client.answers() == [b"value of r1"]
+        else:
+            assert client.answers() == [b"-ERR failed"], "a refusal says that it may be tried again"
+        bed.nothing_held()
+
+    crossing(test, ("first", *CELLS), one_way(effect, 2 * 10**9, group))
+
+
+@pytest.mark.parametrize(("effect", "group", "again"), GROUPS)
+def test_repeats_of_writes_go_by_the_effect_too(effect: str, group: str, again: list[str]) -> None:
+    """At the store, which is of its own group."""
+
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        client.ask("w1", "x", value=b"v")
+        await bed.wait(REST_S * 2)
+        bed.origin.came = bed.origin.serve
+        bed.origin.line("w1").reset()
+        await bed.wait(1.5)
+        assert bed.origin.names == (["w1", "w1"] if again else ["w1"])
+        assert client.answers() == [b"value of w1" if again else b"-ERR failed"]
+        bed.nothing_held()
+
+    crossing(test, (), one_way(effect, 2 * 10**9, group))
+
+
+def test_a_spoilt_answer_that_never_ends_goes_with_its_attempt() -> None:
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+
+        def trickle(line: PeerLine, name: str) -> None:
+            if line in cache.lines:
+                line.transport.write(b"v" * 100)
+                bed.loop.call_later(0.01, trickle, line, name)
+
+        def spoilt(line: PeerLine, name: str) -> None:
+            line.transport.write(b"*3\r\n$60000\r\n")
+            trickle(line, name)
+
+        cache.came = spoilt
+        bed.origin.came = bed.origin.serve
+        client.ask("r1", "once", d=300)
+        await bed.wait(0.4)
+        assert client.answers() == [b"-ERR failed"]
+        assert cache.lines == []
+        bed.nothing_held()
+
+    crossing(test)
+
+
+def test_a_server_that_has_started_anew_under_its_id_is_not_taken_for_the_one_before() -> None:
+    """Its old connections are reset in the turn in which the list tells so; what was asked may have run."""
+
+    async def test(bed: Bed) -> None:
+        cache, client = bed.caches["a"], await bed.client()
+        client.ask("r1", "once")
+        await bed.settle()
+        line = cache.line("r1")
+        bed.tell("a", state=ServerState.GONE)
+        bed.tell("a")
+        line.reset()
+        cache.came = bed.origin.came = lambda line, name: line.peer.serve(line, name)
+        client.ask("r2", "once")
+        await bed.wait(0.1)
+        assert client.answers() == [b"-ERR failed", b"value of r2"]
+        assert [name for _, _, name in bed.seen] == ["r1", "r2"]
+        bed.nothing_held()
+
+    crossing(test)
