Deal out no more descriptors than the process may have

Cause: the router dealt out `limits.sockets`, 1,024 where it is not told, whatever the process may open. With a limit of 160 clients alone were given 595 places: those that stay fill the process, and then a dial to a server or discovery's call finds no descriptor; the dial's failure is held against its server.

Change: at the start the limit in force for the process (RLIMIT_NOFILE, soft) goes before a larger number that the configuration tells; one line of the log says so. The limit itself is left as it is.

--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -6,12 +6,15 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import sys
 import time
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from pebblepass.daemon.config import Config, ConfigError, load_config
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.log import Limit, make_logger
@@ -63,6 +66,16 @@
             log.error("the operator's file stays as it was: %s", error)
 
 
+def within_limit(config: Config) -> Config:
+    """The configuration with no more descriptors than the process may have."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= config.sockets:
+        return config
+    # Danger: dealt out beyond it, clients that stay take those of the dials and of discovery.
+    log.warning("limits.sockets is %d, and the process may have %d descriptors", config.sockets, soft)
+    return replace(config, sockets=soft)
+
+
 def open_figures(loop: asyncio.AbstractEventLoop, config: Config, section: FiguresSection) -> FiguresService:
     """Open the ledger; raises ValueError in one plain line where it can't be opened."""
     from pebblepass.figures.service import FiguresService
@@ -122,6 +135,7 @@
             config = load_config(os.environ)
             operator = OperatorFile(os.environ, make_logger(config.name, runner.get_loop().time))
             operator.apply()
+            config = within_limit(config)
             figures = None
             if operator.figures is not None:
                 figures = open_figures(runner.get_loop(), config, operator.figures)
--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -180,7 +180,7 @@
     return [(b"", get(f"h{n}", f"h{n}")[:25], get(f"c{n}", f"c{n}", d=LATER_MS))[n % 3] for n in range(count)]
 
 
-@pytest.mark.parametrize("told_sockets", [LIMIT], ids=["told"])
+@pytest.mark.parametrize("told_sockets", [LIMIT, None, 1024], ids=["told", "untold", "told too many"])
 def test_discovery_and_dials_have_descriptors_however_many_stay(
     tmp_path: Path, told_sockets: int | None
 ) -> None:
