Take in those who wait at a closing listener one after another

Cause: when a router ends it accepted the whole backlog of its listener in one turn of the loop, up to 1,024 connections, whatever places it had: for some turns no descriptor was left for dials of requests that it had taken. And it looked at the listener through a copy of its descriptor: with none free that raised an error out of the drain, which ends the process with exit code 1 and loses all that was taken.

Measured: 100 clients that wait at the listener of a router with ten places: 100 descriptors beyond the start's before, at most 13 after. With no descriptor free: `OSError: Too many open files` before, nobody is taken in and they wait on after. Both tests fail on the code before.

--- a/pebblepass/admission/descriptors.py
+++ b/pebblepass/admission/descriptors.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+NEWCOMERS = 3  # accepted, and not yet taken in or closed
 BARE = 22  # streams 3, event loop 10, listener, two watches of discovery, a file, 3 newcomers, 2 to spare
 CONTROL = 3  # the control address beside its callers: its listener, and two newcomers
 INHERITED = 4  # the platform's listener is held twice; the door, and two processes that come
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -606,11 +606,16 @@
         """How many connections there are."""
         return len(self._connections)
 
-    def accept_rest(self) -> None:
-        """Take in whom the kernel has accepted for this listener, which is about to close."""
-        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost.
-        if self._listener is not None:
-            accept_rest(self.loop, self._listener, self._take_in)
+    def accept_rest(self) -> bool:
+        """Take in one whom the kernel has accepted for this listener, which is about to close.
+
+        Returns whether there may be more, for a later turn of the loop.
+        """
+        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost. And all
+        # at once, they would take the descriptors of dials and of discovery until they have their answer.
+        if self._listener is None:
+            return False
+        return accept_rest(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
 
     def _take_in(self, sock: socket.socket) -> None:
         make = functools.partial(ClientConnection, self)
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -203,7 +203,8 @@
             await asyncio.sleep(ACCEPT_S)
             await news()
             if succession is None:  # else the platform's socket goes on listening, and they wait there
-                self.clients.accept_rest()
+                while self.clients.accept_rest() and self._loop.time() < begun + MIDWAY_S:
+                    await asyncio.sleep(0)
                 await news()
             self.clients.stop_accepting()
             self.clients.finish(even_midway=False)
--- a/pebblepass/daemon/unread.py
+++ b/pebblepass/daemon/unread.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import functools
-import os
 import select
 import socket
 from collections.abc import Callable
@@ -64,17 +63,24 @@
 
 
 def accept_rest(
-    loop: asyncio.AbstractEventLoop, listener: asyncio.Server, take: Callable[[socket.socket], None]
-) -> None:
-    """Accept whoever waits at a listener for the loop to do so."""
+    loop: asyncio.AbstractEventLoop,
+    listener: asyncio.Server,
+    take: Callable[[socket.socket], None],
+    most: int,
+) -> bool:
+    """Accept whoever waits at a listener for the loop to do so, up to `most`; whether there may be more."""
     of_loop = getattr(loop, "accept_rest", None)
     for held in listener.sockets:
         if of_loop is not None:
-            of_loop(held, take)
+            most -= of_loop(held, take, most)
             continue
-        # Nobody is left, or no descriptor is.
-        with socket.socket(fileno=os.dup(held.fileno())) as own, suppress(OSError):
-            while True:
+        # No descriptor of its own: there may be none.
+        own = socket.socket(fileno=held.fileno())
+        with suppress(OSError):  # nobody is left, or no descriptor is
+            while most > 0:
                 sock, _ = own.accept()
                 sock.setblocking(False)
                 take(sock)
+                most -= 1
+        own.detach()
+    return most <= 0
--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -372,11 +372,13 @@
         found |= select.POLLRDHUP if half.ended or half.reset else 0
         return found & events | (select.POLLERR | select.POLLHUP if half.reset else 0)
 
-    def accept_rest(self, listener: Any, take: Callable[[socket.socket], None]) -> None:
-        """Accept whoever waits at a listener that is about to close."""
-        held = self.network.by_fd[listener.fileno()]
-        while held.pending:
+    def accept_rest(self, listener: Any, take: Callable[[socket.socket], None], most: int) -> int:
+        """Accept whoever waits at a listener that is about to close, up to `most`; returns how many."""
+        held, taken = self.network.by_fd[listener.fileno()], 0
+        while held.pending and taken < most:
             take(held.accept()[0])
+            taken += 1
+        return taken
 
     def stall(self, seconds: float) -> None:
         """Let time go by within the callback that calls this, as work that holds up the loop does."""
--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import json
 import os
+import resource
 import select
 import socket
 import subprocess
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from pebblepass.admission.descriptors import NEWCOMERS
+from pebblepass.daemon.clients import ClientServer, Reply
+from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.standins.ports import take_port
+from pebblepass.wire.resp import Command
+from tests.daemon.test_clients import until
 from tests.daemon.test_operations import figures
 from tests.sockets import (
     FACTS,
@@ -221,3 +228,90 @@
                 crowd.close()
     assert "Too many open files" not in made.log
     assert made.most < LIMIT, made.most
+
+
+# The client side alone, in this process
+
+
+class Values:
+    """Answers each request with 8 KiB."""
+
+    ready = True
+    asked = answered = 0
+
+    def request_arrived(self, command: Command, reply: Reply) -> None:
+        self.answered += 1
+        reply.send(b"$8192\r\n%b\r\n" % bytes(8192))
+        reply.forgotten()
+
+    def client_gone(self, reply: Reply) -> None:
+        raise AssertionError("every request is answered at once")
+
+    def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
+        raise AssertionError("there is room")
+
+
+def on_loop(work: Callable[[ClientServer, Values, int], Awaitable[None]]) -> None:
+    """Play a test on the daemon's own loop, beside a client server with ten places."""
+
+    async def main() -> None:
+        loop, host = asyncio.get_running_loop(), Values()
+        server = ClientServer(loop, host, 10, 8 << 20, refusers=0)
+        await server.listen(("127.0.0.1", 0))
+        assert server._listener is not None
+        try:
+            await work(server, host, server._listener.sockets[0].getsockname()[1])
+        finally:
+            server.close()
+            await asyncio.sleep(0.01)
+
+    with asyncio.Runner(loop_factory=DaemonLoop) as runner:
+        runner.run(main())
+
+
+def sockets_held() -> int:
+    """Sockets of this process."""
+    held = 0
+    for name in os.listdir("/proc/self/fd"):
+        with suppress(OSError):
+            held += os.readlink(f"/proc/self/fd/{name}").startswith("socket:")
+    return held
+
+
+def test_those_that_wait_at_the_end_are_taken_in_one_after_another() -> None:
+    """The listener is about to close; at no time do newcomers take many descriptors beyond the places."""
+
+    async def work(server: ClientServer, host: Values, port: int) -> None:
+        crowd = []
+        for _ in range(100):  # all in one turn of the loop: none is accepted meanwhile
+            client = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+            client.sendall(get("r"))
+            crowd.append(client)
+        before, most, more = sockets_held(), 0, True
+        while more:
+            more = server.accept_rest()
+            most = max(most, sockets_held() - before)
+            await asyncio.sleep(0)
+        assert most <= 10 + NEWCOMERS
+        await until(lambda: host.answered >= 10, "the first ten are served")
+        for client in crowd:
+            client.close()
+
+    on_loop(work)
+
+
+def test_no_descriptor_for_those_that_wait_at_the_end_is_no_fault() -> None:
+    async def work(server: ClientServer, host: Values, port: int) -> None:
+        with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S) as client:
+            client.sendall(get("r"))
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            free = os.dup(0)
+            os.close(free)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+            try:
+                assert not server.accept_rest()
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            await until(lambda: host.answered, "who waited is served once there is one")
+
+    on_loop(work)
