Let go at once of a client that has ended its sending and takes nothing

Cause: at a client's end the connection leaves the count of places, and its transport is closed; with bytes that the kernel has not taken a close waits for them, without an end. A client that ends its sending, reads nothing and stays (less than 64 KiB waiting, so that reading is not paused and no timer looks at it) kept a descriptor that is in no sum; enough of them fill the process, at no cost to them.

Change: where bytes are unsent when a client's end is heard the connection is broken. What was lost that way are whole answers to a client that counts as gone; without unsent bytes nothing changes.

Measured: one client with 4 KiB of receive buffer that asks until something waits, ends its sending and stays: its descriptor was held for the 20 s that the test waits, and is free at once now; the test fails on the code before.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -192,6 +192,10 @@
     def eof_received(self) -> bool:
         """Take the end of the client's sending: it has gone away."""
         self._leave()
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            # Danger: closed, it keeps its descriptor until its client takes the rest, be it never, and is in
+            # no sum any longer.
+            self.transport.abort()
         return False
 
     def _leave(self) -> None:
--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -315,3 +315,30 @@
             await until(lambda: host.answered, "who waited is served once there is one")
 
     on_loop(work)
+
+
+def test_one_that_ends_its_sending_and_reads_nothing_keeps_no_descriptor() -> None:
+    async def work(server: ClientServer, host: Values, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        before = sockets_held()
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.setblocking(False)
+            await loop.sock_connect(client, ("127.0.0.1", port))
+            await until(lambda: server.connected == 1, "the connection")
+            connection = next(iter(server._connections))
+            assert connection.transport is not None
+            while not connection.transport.get_write_buffer_size():
+                host.asked += 1
+                await loop.sock_sendall(client, get(f"r{host.asked}"))
+                await until(lambda: host.answered == host.asked, "an answer")
+                for _ in range(3):  # what the kernel takes has left by then
+                    await asyncio.sleep(0)
+            assert not connection.blocked, "one that is paused is looked at by a timer"
+            client.shutdown(socket.SHUT_WR)
+            await until(lambda: not server.connected, "its end is heard")
+            await until(
+                lambda: sockets_held() == before + 1, "the descriptor is free, its client holds its own"
+            )
+
+    on_loop(work)
