Ask for a list where none is known, also where lists are asked for

Cause: where routers ask for lists the module subscribes once it has been told of the list in the configuration (`known`). Without one nothing told it anything: nobody asked, and the router was never ready.

Change: a start without `known` asks for the whole list itself, as it does where lists are pushed; until a list is known the next calls ask for all of it too, so that a call that falls silent is given up after 2 s and not after the 20.5 s of a watch.

`tests/daemon/test_ready.py`: its five cases of lists asked for without `known` fail on the code before, those of pushed lists and with `known` passed there too.

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -131,7 +131,8 @@
             await self.clients.listen(self._config.listen)
         else:
             await self._succeed(adopt(self._config.inherited, self._config.listen))
-        if not self._config.settings.must_subscribe:
+        # Where lists are asked for the module does so, once it has been told of the list that is known.
+        if self._config.known is None or not self._config.settings.must_subscribe:
             self._discovery.start()
         if self._config.known is not None:
             self._loop.call_later(READY_S, self._make_do)
--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -249,9 +249,11 @@
         self._watch: _Watch | None = None
         self._next: _Watch | None = None  # at the address that the watch moves to, until it has spoken
         self.generation = 0
+        self._nothing_known = False
 
     def start(self) -> None:
         """Follow the list, unless a new configuration has begun that already."""
+        self._nothing_known = not self.generation
         if self._watch is None:
             self._watch = self._begin(whole=True)
 
@@ -260,7 +262,8 @@
         if self._next is not None:
             return
         if self._watch is None:
-            self._watch = self._begin(whole=False)
+            # Where nothing is known yet a silence must not last for as long as a watch may wait.
+            self._watch = self._begin(whole=self._nothing_known and not self.generation)
         elif self._watch.address != self._address:
             self._next = self._begin(whole=True)
 
--- /dev/null
+++ b/tests/daemon/test_ready.py
@@ -0,0 +1,93 @@
+"""How soon a started router is ready, by discovery's state and by what it holds."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, cast
+
+import pytest
+
+from pebblepass.daemon.config import read_config
+from pebblepass.daemon.daemon import MOST_SETTLING_S, READY_S, Daemon
+from pebblepass.rehearsal.clock import VirtualLoop
+from pebblepass.standins.ports import take_port
+from tests.sockets import FACTS
+from tests.virtual import played
+
+IN_TIME_S = 10.0  # for nine in ten restarted routers
+INSTANCES = [
+    {
+        "instanceId": "s1",
+        "hostPort": "127.0.0.1:9",
+        "zone": "a",
+        "machineType": "std",
+        "cell": 0,
+        "lifecycle": "up",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
+]
+
+
+class Agent(asyncio.Protocol):
+    """Discovery that takes connections and says nothing until some time."""
+
+    def __init__(self, loop: VirtualLoop, speaks_at: float) -> None:
+        self._loop, self._speaks_at = loop, speaks_at
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        if self._loop.time() >= self._speaks_at and b"index=3" not in data:
+            body = json.dumps({"generation": 3, "reset": True, "instances": INSTANCES}).encode()
+            self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+def ready_after(mode: str, known: dict[str, Any] | None, silent_s: float, spent: float = 0.0) -> float:
+    """Seconds from the start, at a router whose discovery is silent at first."""
+
+    async def work(loop: VirtualLoop) -> float:
+        began = loop.time()
+        agent = await loop.create_server(lambda: Agent(loop, began + silent_s), "127.0.0.1", 0)
+        port = agent.sockets[0].getsockname()[1]
+        told = {
+            "listen": f"127.0.0.1:{take_port()}",
+            "discovery": f"127.0.0.1:{port}",
+            "settings": {**FACTS, "membershipMode": mode},
+            "known": known,
+            "limits": {"cores": 0.1, "sockets": 160},
+        }
+        daemon = Daemon(loop, read_config(told, {}), loop.unix_ns, spent=spent)
+        await daemon.start()
+        while not daemon.is_ready() and loop.time() < began + 60:
+            await asyncio.sleep(0.01)
+        took = loop.time() - began
+        daemon.stop()
+        agent.close()
+        await asyncio.sleep(0.1)
+        return took
+
+    return cast(float, played(work))
+
+
+LAST_LIST = {"generation": 2, "reset": True, "instances": INSTANCES}
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+def test_it_is_ready_soon_where_discovery_speaks(mode: str) -> None:
+    assert ready_after(mode, None, 0.0, spent=0.4) < MOST_SETTLING_S + 0.1
+    assert ready_after(mode, LAST_LIST, 0.0, spent=0.4) < READY_S + MOST_SETTLING_S  # asked after a draw
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+def test_a_silent_discovery_holds_up_nobody_who_knows_a_list(mode: str) -> None:
+    assert READY_S - 0.02 <= ready_after(mode, LAST_LIST, 60.0, spent=0.4) < READY_S + MOST_SETTLING_S + 0.1
+
+
+@pytest.mark.parametrize("silent_s", [0.5, 1.5, 3.0, 8.0])
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+def test_one_that_knows_no_list_is_ready_in_time_once_discovery_speaks(mode: str, silent_s: float) -> None:
+    """The call that met the silence must not be waited for."""
+    assert silent_s <= ready_after(mode, None, silent_s) < silent_s + IN_TIME_S / 2
