--- a/pebblepass/admission/descriptors.py
+++ b/pebblepass/admission/descriptors.py
@@ -47,6 +47,20 @@
     return BARE + (CONTROL + control if control else 0) + (INHERITED if inherited else 0) + beside
 
 
+def figures(connections: int, writes: bool, posts: bool) -> int:
+    """What the ledger takes: `connections` at its listener, 0 without one; its files; its webhook."""
+    at_listener = LISTENER + connections if connections else 0
+    return at_listener + (DISK if writes else 0) + (WEBHOOK if posts else 0)
+
+
+def fleet(voters: int, coming: int, strangers: int, writes: bool) -> int:
+    """What being one of a fleet takes: links to the voters, those that come, with their strangers; the log.
+
+    `coming`: routers that keep a link to this one; 0 unless it is a voter.
+    """
+    return LISTENER + voters + coming + strangers + (DISK if writes else 0)
+
+
 def split(limit: int, own: int) -> Split:
     """Deal out `limit` descriptors, of which `own` are neither clients' nor servers'."""
     rest = max(limit - own, LEAST)
--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -15,6 +15,7 @@
 
 from msgspec.structs import replace
 
+from pebblepass.admission import descriptors
 from pebblepass.daemon.config import Config, ConfigError, load_config
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.log import Limit, make_logger
@@ -76,6 +77,22 @@
     return replace(config, sockets=soft)
 
 
+def beside(operator: OperatorFile, name: str) -> int:
+    """Descriptors that the operator's sections take."""
+    taken, ledger, section = 0, operator.figures, operator.fleet
+    if ledger is not None:
+        from pebblepass.figures.listener import MOST_CONNECTIONS
+
+        listens = MOST_CONNECTIONS if ledger.listen else 0
+        taken += descriptors.figures(listens, bool(ledger.directory), bool(ledger.webhook))
+    if section is not None:
+        from pebblepass.peers.links import STRANGERS
+
+        coming = len(section.members) - 1 if name in section.voters else 0
+        taken += descriptors.fleet(len(section.voters), coming, STRANGERS, bool(section.directory))
+    return taken
+
+
 def open_figures(loop: asyncio.AbstractEventLoop, config: Config, section: FiguresSection) -> FiguresService:
     """Open the ledger; raises ValueError in one plain line where it can't be opened."""
     from pebblepass.figures.service import FiguresService
@@ -96,7 +113,8 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
-    daemon = daemon_class(loop, config, spent=time.process_time())
+    taken = beside(operator, config.name)
+    daemon = daemon_class(loop, config, spent=time.process_time(), beside=taken)
     if operator.many_keys is not None:
         daemon.read_many(operator.many_keys)
     if operator.fleet is not None:
--- a/tests/admission/test_descriptors.py
+++ b/tests/admission/test_descriptors.py
@@ -7,9 +7,21 @@
 
 import pytest
 
-from pebblepass.admission.descriptors import BARE, CONTROL, REFUSERS, Split, callers, own, split
+from pebblepass.admission.descriptors import (
+    BARE,
+    CONTROL,
+    REFUSERS,
+    Split,
+    callers,
+    figures,
+    fleet,
+    own,
+    split,
+)
 from pebblepass.control.operations import CALLERS
+from pebblepass.figures.listener import MOST_CONNECTIONS
 from pebblepass.handover.states import Shares
+from pebblepass.peers.links import STRANGERS
 
 LIMITS = [80, 128, 160, 256, 512, 1024, 4096]
 
@@ -91,3 +103,16 @@
         clients, servers = shares.left(at_old, old_servers)
         both = at_old + old_servers + clients + servers + dealt.refusers + 2 * needed(control, True)
         assert both <= limit
+
+
+@pytest.mark.parametrize("limit", [256, 1024])
+def test_the_operators_sections_take_none_of_anybody_elses(limit: int) -> None:
+    ledger = figures(MOST_CONNECTIONS, writes=True, posts=True)
+    voter = fleet(voters=3, coming=29, strangers=STRANGERS, writes=True)
+    control = callers(limit, CALLERS)
+    dealt = split(limit, own(control, False, ledger + voter))
+    at_ledger = 1 + MOST_CONNECTIONS + 2 + 3 + 1  # listener, callers, newcomers, files, webhook
+    at_fleet = 1 + 3 + 29 + STRANGERS + 2 + 3  # listener, dialled, came, strangers, newcomers, files
+    assert worst(dealt, control, False) + at_ledger + at_fleet <= limit
+    assert worst(split(limit, own(control, False)), control, False) + at_ledger + at_fleet > limit
+    assert figures(0, writes=False, posts=False) == 0
