Test that a start loads only what a router without an operator's file needs

A bound on seconds would change its verdict with the machine.

Change: a test counts what is loaded instead.

--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import subprocess
+import sys
 from typing import Any, cast
 
 import pytest
@@ -12,7 +14,7 @@
 from pebblepass.daemon.daemon import MOST_SETTLING_S, READY_S, Daemon
 from pebblepass.rehearsal.clock import VirtualLoop
 from pebblepass.standins.ports import take_port
-from tests.sockets import FACTS
+from tests.sockets import FACTS, ROOT
 from tests.virtual import played
 
 IN_TIME_S = 10.0  # for nine in ten restarted routers
@@ -91,3 +93,16 @@
 def test_one_that_knows_no_list_is_ready_in_time_once_discovery_speaks(mode: str, silent_s: float) -> None:
     """The call that met the silence must not be waited for."""
     assert silent_s <= ready_after(mode, None, silent_s) < silent_s + IN_TIME_S / 2
+
+
+def test_a_start_loads_nothing_that_only_the_operators_file_asks_for() -> None:
+    """Imports are most of a start's CPU, and on a part of a core that is the time until it is ready."""
+    beside = ("agreement", "figures", "handover", "manykeys", "operator", "peers", "standins", "rehearsal")
+    libraries = ("click", "rich", "numpy", "matplotlib", "sqlite3", "hypothesis")
+    listed = "import sys, pebblepass.daemon.__main__; print(*sys.modules)"
+    told = subprocess.run(
+        [sys.executable, "-c", listed], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    loaded = set(told.stdout.split())
+    assert "pebblepass.daemon.router" in loaded
+    assert not loaded & {*libraries, *(f"pebblepass.{room}" for room in beside)}
