--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -6,12 +6,16 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import sys
 import time
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
+from pebblepass.admission import descriptors
 from pebblepass.daemon.config import Config, ConfigError, load_config
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.log import Limit, make_logger
@@ -63,6 +67,32 @@
             log.error("the operator's file stays as it was: %s", error)
 
 
+def within_limit(config: Config) -> Config:
+    """The configuration with no more descriptors than the process may have."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= config.sockets:
+        return config
+    # Danger: dealt out beyond it, clients that stay take those of the dials and of discovery.
+    log.warning("limits.sockets is %d, and the process may have %d descriptors", config.sockets, soft)
+    return replace(config, sockets=soft)
+
+
+def beside(operator: OperatorFile, name: str) -> int:
+    """Descriptors that the operator's sections take."""
+    taken, ledger, section = 0, operator.figures, operator.fleet
+    if ledger is not None:
+        from pebblepass.figures.listener import MOST_CONNECTIONS
+
+        listens = MOST_CONNECTIONS if ledger.listen else 0
+        taken += descriptors.figures(listens, bool(ledger.directory), bool(ledger.webhook))
+    if section is not None:
+        from pebblepass.peers.links import STRANGERS
+
+        coming = len(section.members) - 1 if name in section.voters else 0
+        taken += descriptors.fleet(len(section.voters), coming, STRANGERS, bool(section.directory))
+    return taken
+
+
 def open_figures(loop: asyncio.AbstractEventLoop, config: Config, section: FiguresSection) -> FiguresService:
     """Open the ledger; raises ValueError in one plain line where it can't be opened."""
     from pebblepass.figures.service import FiguresService
@@ -83,7 +113,8 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
-    daemon = daemon_class(loop, config, spent=time.process_time())
+    taken = beside(operator, config.name)
+    daemon = daemon_class(loop, config, spent=time.process_time(), beside=taken)
     if operator.many_keys is not None:
         daemon.read_many(operator.many_keys)
     if operator.fleet is not None:
@@ -122,6 +153,7 @@
             config = load_config(os.environ)
             operator = OperatorFile(os.environ, make_logger(config.name, runner.get_loop().time))
             operator.apply()
+            config = within_limit(config)
             figures = None
             if operator.figures is not None:
                 figures = open_figures(runner.get_loop(), config, operator.figures)
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from pebblepass.admission.descriptors import REFUSERS
 from pebblepass.admission.places import Standing, makes_room
 from pebblepass.daemon.unread import ANYTHING, END, accept_rest, has_ended, looks
 from pebblepass.daemon.upstream import ValueSource
@@ -30,7 +31,6 @@
 SWEEP_S = 0.5
 PAUSED_S = 0.1  # between two looks whether those have left that are not read: 0.3 s later nothing is sent
 MOST_ASKED = 4  # connections that are asked for their place before a newcomer has none
-REFUSERS, REFUSERS_SHARE = 32, 0.125  # places for those that are refused, and of all at most
 
 log = logging.getLogger("pebblepass")
 
@@ -192,6 +192,10 @@
     def eof_received(self) -> bool:
         """Take the end of the client's sending: it has gone away."""
         self._leave()
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            # Danger: closed, it keeps its descriptor until its client takes the rest, be it never, and is in
+            # no sum any longer.
+            self.transport.abort()
         return False
 
     def _leave(self) -> None:
@@ -606,11 +610,16 @@
         """How many connections there are."""
         return len(self._connections)
 
-    def accept_rest(self) -> None:
-        """Take in whom the kernel has accepted for this listener, which is about to close."""
-        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost.
-        if self._listener is not None:
-            accept_rest(self.loop, self._listener, self._take_in)
+    def accept_rest(self) -> bool:
+        """Take in one whom the kernel has accepted for this listener, which is about to close.
+
+        Returns whether there may be more, for a later turn of the loop.
+        """
+        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost. And all
+        # at once, they would take the descriptors of dials and of discovery until they have their answer.
+        if self._listener is None:
+            return False
+        return accept_rest(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
 
     def _take_in(self, sock: socket.socket) -> None:
         make = functools.partial(ClientConnection, self)
