Close the connection of a watch that discovery has ended with a failure

Cause: where lists are asked for, a call that was answered with 503 left its connection open, and the next watch opened its own: 200 routers held 3982 connections after 45 s of 503s (_watch_asked dropped the watch, nobody closed its call). Change: a watch that ends hangs up.

--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -225,12 +225,16 @@
             log.warning("discovery: %s", str(error) or type(error).__name__)
         return self.pace.failed(isinstance(error, TimeoutError))
 
+    def hang_up(self) -> None:
+        """Close the connection."""
+        if self._call is not None:
+            self._call.close()
+
     def close(self) -> None:
         """End the calls."""
         if self.task is not None:
             self.task.cancel()
-        if self._call is not None:
-            self._call.close()
+        self.hang_up()
 
 
 class Discovery:
@@ -320,6 +324,7 @@
                     await asyncio.sleep(TAKE_AGAIN_S)
             except Exception as error:
                 at_once = watch.failed(error)
+        watch.hang_up()  # one that answers with failures stays open, and the next watch opens its own
         if watch is self._next:
             # Danger: the watch at the old address may last for long, and nobody else asks at the new one.
             self._next = None
--- a/tests/membership/test_told.py
+++ b/tests/membership/test_told.py
@@ -427,6 +427,7 @@
             begun = desk.loop.time()
             await asyncio.sleep(45.0)
             down = rate(desk, begun + 25.0, begun + 45.0)
+            assert len(desk.lines) <= routers, "no connection is left open by a call that failed"
             desk.fault = None
             desk.drain()
             begun = desk.loop.time()
