Ask for the whole list where the version that is held means nothing

Cause, found while reading: where lists are asked for, a discovery that had lost its list (it counts from the start) was asked for changes against the old version for ever, as the watch that knew better was dropped with its call; and after SIGHUP with no watch open the new address was asked for changes against a version of the old one. Change: Discovery remembers that all of it has to be asked for, and where the version that is held comes from. Tests: test_a_discovery_that_has_lost_its_list_is_asked_for_all_of_it and test_where_no_watch_is_open_a_new_address_is_asked_for_all_of_its_list; both fail on the commit before the work. Measured: tests of membership, the module's requests and the project: 152 passed.

--- a/pebblepass/membership/registry.py
+++ b/pebblepass/membership/registry.py
@@ -254,6 +254,8 @@
         self._take, self._failed = take, failed
         self._rng = rng
         self._pace = self._new_pace()
+        self._heard_at = address  # where the list that is held, and its version, come from
+        self._whole = False  # the next watch begins with the whole list
         self._watch: _Watch | None = None
         self._next: _Watch | None = None  # at the address that the watch moves to, until it has spoken
         self.generation = 0
@@ -268,7 +270,7 @@
         if self._next is not None:
             return
         if self._watch is None:
-            self._watch = self._begin(whole=False)
+            self._watch = self._begin(whole=self._whole or self._heard_at != self._address)
         elif self._watch.address != self._address:
             self._next = self._begin(whole=True)
 
@@ -325,6 +327,7 @@
             except Exception as error:
                 at_once = watch.failed(error)
         watch.hang_up()  # one that answers with failures stays open, and the next watch opens its own
+        self._whole = self._whole or watch.whole
         if watch is self._next:
             # Danger: the watch at the old address may last for long, and nobody else asks at the new one.
             self._next = None
@@ -349,4 +352,5 @@
             return False
         watch.taken(listing)
         self.generation = listing.generation
+        self._heard_at, self._whole = watch.address, False
         return True
--- a/tests/membership/test_told.py
+++ b/tests/membership/test_told.py
@@ -451,3 +451,32 @@
 @pytest.mark.parametrize("a_second", [25.0, 50.0, 1000.0])
 def test_two_hundred_routers_do_not_keep_discovery_busy(a_second: float) -> None:
     cost(FLEET, a_second)
+
+
+# What was found on the way
+
+
+def test_a_discovery_that_has_lost_its_list_is_asked_for_all_of_it() -> None:
+    async def test(kind: str, desk: Desk, seed: int) -> tuple[float, float]:
+        desk.generation = 41
+        following = await settled(kind, desk, seed)
+        desk.generation, desk.drained = 2, True  # it was started anew, and counts from the start
+        return await acted(following, desk.loop.time()), 21.0 + AFTER_WAIT_S
+
+    at, told = latest("asked", test)
+    assert at <= told
+
+
+def test_where_no_watch_is_open_a_new_address_is_asked_for_all_of_its_list() -> None:
+    async def test(kind: str, desk: Desk, seed: int) -> tuple[float, float]:
+        following = await settled(kind, desk, seed)
+        other = Desk(cast(DeskLoop, desk.loop))
+        await other.open()
+        desk.begin("503")
+        await asyncio.sleep(0.01)
+        other.drained = True  # and counts its versions as it likes
+        following.discovery.move(other.address)
+        return await acted(following, desk.loop.time()), RELOADED_S
+
+    at, told = latest("asked", test)
+    assert at <= told + GRACE_S
