Pass cold servers over while a router cannot know what is hot

Cause: all routers give a slot to the same server. Many that begin while a server is cold know of no slot that it is hot, and each sends its first requests for it to that server: as many as there are routers. Ruled out by the same draws: the ramp, uneven traffic, retries, handshakes, clocks 1 s apart (none over with settled routers).

Change: a router that has seen fewer requests than tell a slot of the room that a cold server has (servers / ((fallMultiple - 1) x warmth)) asks it with the chance that it would know; else the slot's next. All of them then send it 1/e of that room for any one slot at most. `rules.fallMultiple` is read for it; without it, off.

--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 
 from msgspec import Struct
 
@@ -122,6 +123,8 @@
     ask_within: int = 10 * NS_PER_S
     cold_share: float = 1.0
     cold_time: int = 0
+    fall_multiple: float = inf
+    """Sent more than so many times what it can do, a cold server falls over."""
     max_attempts: int = 4
     retry_after: bool = False
     max_retry_after: int = NS_PER_S
@@ -139,6 +142,7 @@
         _require(self.ask_within > 0, "ask_within", "must be above 0")
         _require(0 < self.cold_share <= 1, "cold_share", "must lie above 0 and not over 1")
         _require(self.cold_time >= 0, "cold_time", "must not be negative")
+        _require(self.fall_multiple > 0, "fall_multiple", "must be above 0")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
         _require(self.per_connection >= 1, "per_connection", "must be at least 1")
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -207,7 +207,7 @@
         self._settings = settings
         self._memo: dict[int, list[tuple[float, Node]]] = {}
         self.settled: dict[int, list[Node]] = {}  # the memo's nodes alone, while none of them is cold
-        self._cold_until = 0
+        self.cold_until = 0
         self._only: list[Node] = []
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
@@ -228,7 +228,7 @@
                 held[:] = nlargest(max(DEPTH, len(held)), ranked, key=itemgetter(0))
         self._only = list(self.nodes.values())[:1]
         newest = max((node.entry.started for node in self.nodes.values()), default=0)
-        self._cold_until = newest + self._settings.cold_time
+        self.cold_until = newest + self._settings.cold_time
 
     def _score(self, slot: int, node: Node) -> float:
         mixed = (node.seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
@@ -247,13 +247,13 @@
         if len(self.nodes) <= 1:  # the origin's table: a ranking for each slot would be kept for nothing
             return self._only
         known = self.settled.get(slot, ())
-        if len(known) >= min(depth, len(self.nodes)) and now >= self._cold_until:
+        if len(known) >= min(depth, len(self.nodes)) and now >= self.cold_until:
             return known
         held = self._memo.get(slot, [])
         if len(held) < min(depth, len(self.nodes)):
             scored = ((self._score(slot, node), node) for node in self.nodes.values())
             held = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
-        if now < self._cold_until:
+        if now < self.cold_until:
             ramped = [(score * self.warmth(node, now), node) for score, node in held]
             return [node for _, node in sorted(ramped, key=itemgetter(0), reverse=True)]
         ranked = self.settled[slot] = [node for _, node in held]
@@ -265,17 +265,17 @@
 
     def __init__(self) -> None:
         self._counts: dict[int | str, float] = {}
-        self._total = 0.0
+        self.total = 0.0
 
     def add(self, slot: int | str, requests: int = 1) -> float:
         """Count requests of this slot; returns the slot's share before them."""
         count = self._counts.get(slot, 0.0)
-        share = count / self._total if self._total > 1.0 else count
+        share = count / self.total if self.total > 1.0 else count
         self._counts[slot] = count + requests
-        self._total += requests
-        if self._total >= HEAT_MEMORY:
+        self.total += requests
+        if self.total >= HEAT_MEMORY:
             self._counts = {slot: count / 2 for slot, count in self._counts.items() if count > 1}
-            self._total = sum(self._counts.values())
+            self.total = sum(self._counts.values())
         return share
 
     def hottest(self) -> list[tuple[int | str, float]]:
@@ -286,7 +286,7 @@
         """Count what another router has counted."""
         for slot, count in known:
             self._counts[slot] = self._counts.get(slot, 0.0) + count * weight
-            self._total += count * weight
+            self.total += count * weight
 
 
 class Suppressor:
@@ -706,10 +706,8 @@
             request = self._requests[name] = Request(name, key, event.deadline, False, cls, guard)
             slot = request.slot = crc32(key.encode()) % SLOTS
             request.command, request.share = command, self._heat.add(slot)
-            if request.share > cold:
-                ranking = self._candidates(request)
-            else:
-                ranking = settled.get(slot) or self._caches.rank(slot, now)
+            held = settled.get(slot) if request.share <= cold else None
+            ranking = held or self._candidates(request)
             # The plain case of _route: the first choice is sound, and there is time left.
             if not ranking or not ranking[0].sound or in_haste:
                 self._route(request)
@@ -824,7 +822,25 @@
     def _candidates(self, request: Request) -> Sequence[Node]:
         owners = math.ceil(request.share * len(self._caches.nodes) / HEAT_SHARE)
         ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
-        return [*sorted(ranking[:owners], key=self._draw), *ranking[owners:]] if owners > 1 else ranking
+        if owners > 1:
+            return [*sorted(ranking[:owners], key=self._draw), *ranking[owners:]]
+        if self._now < self._caches.cold_until and ranking and self._passed_over(ranking[0]):
+            return sorted(ranking, key=lambda node: self._caches.warmth(node, self._now) < 1.0)
+        return ranking
+
+    def _passed_over(self, node: Node) -> bool:
+        """Whether a cold server is not asked yet, as this router can't tell that the slot is not a hot one.
+
+        Danger: all routers give a slot to the same server, and many that have just begun know of none that it
+        is hot. Beside its own part a cold one has room for `fall_multiple` - 1 of these. That a slot has more
+        is not known before so many requests are seen that one was its own: asked with the chance that it is,
+        all routers that know nothing send it 1/e of that room for any one slot, however many they are.
+        """
+        warmth, servers = self._caches.warmth(node, self._now), len(self._caches.nodes)
+        if warmth >= 1.0:
+            return False
+        known = self._heat.total * (self._settings.fall_multiple - 1) * warmth
+        return known < servers and self._rng.random() * servers >= known
 
     def _draw(self, node: Node) -> float:
         """The time that a further request is likely to take there, with a draw that keeps routers apart.
--- a/pebblepass/decisions/settings.py
+++ b/pebblepass/decisions/settings.py
@@ -56,6 +56,7 @@
         "ask_within": rules.get("askWithinNs"),
         "cold_share": rules.get("coldShare"),
         "cold_time": rules.get("coldNs"),
+        "fall_multiple": rules.get("fallMultiple"),
         "max_attempts": ceilings.get("mostTries"),
         "retry_after": ceilings.get("retryAfter"),
         "max_retry_after": ceilings.get("maxRetryAfterNs"),
