Hold no server dead for the first connection that does not come up in its time

Of the store a connection that was late cut the limits and narrowed the window (_judge_fetch), as if it had answered late.

Change: a dial that runs out of time is told as of its connection (`stale`) where it is the first since the server was heard, or was under way beside that one; the next one is told as before, a refused connection at once. What tells of a connection alone that did not come up counts so however late it is: the aim may be no longer than a dial's time.

--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -61,7 +61,7 @@
     """The answers come within one array, whose head is still to come."""
     stale = False
     """Ended with a connection that had served before and broke without a byte of an answer, or with one that
-    had no place beside this router's others."""
+    had no place beside this router's others, or was the first not to come up since its server was heard."""
     crowded = False
     """Turned away with a new connection, the only one to this server."""
 
@@ -222,6 +222,7 @@
 
     def _free(self) -> None:
         self.exchange, self._answering = None, False
+        self.server.silent_since = None
         self.look_behind()
         self.server.pool.released(self)
 
@@ -288,12 +289,24 @@
         self.dials: dict[asyncio.Task[None], None] = {}
         self.waiting: deque[Exchange] = deque()
         self.most, self.most_until = PER_SERVER, 0.0  # connections, since it turned one away
+        self.silent_since: float | None = None  # when a dial ran out of time, if nothing was heard since
 
     @property
     def held(self) -> int:
         """Connections open and under way."""
         return len(self.connections) + len(self.dials)
 
+    def ran_out(self, began: float, now: float) -> bool:
+        """Take note of a dial that ran out of time; whether that tells of its connection alone.
+
+        So does the first since the server was heard, with those that were under way beside it: connections
+        may come up late, or never, one by one. Danger: a server held dead for it gets next to nothing for a
+        minute. One that has vanished fails the next dial too.
+        """
+        if self.silent_since is None:
+            self.silent_since = now
+        return began < self.silent_since
+
 
 class Pool:
     """Deals exchanges out to connections, within the share of descriptors that servers have."""
@@ -512,13 +525,16 @@
         connecting = self.loop.create_task(attempt)
         task = asyncio.current_task()
         assert task is not None
+        began, lone = self.loop.time(), False
         try:
-            due = self.loop.time() + self._dial_timeout
+            due = began + self._dial_timeout
             await asyncio.wait((connecting,), timeout=self._dial_timeout)
             if not connecting.done() and self.loop.time() - due > LATE_NOTICE_S:
                 await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
             if connecting.done():
                 _, connection = connecting.result()
+            else:
+                lone = server.ran_out(began, self.loop.time())
         except (OSError, ValueError):
             pass  # a listed name that can't be one of a host raises UnicodeError: nobody is there either
         finally:
@@ -532,18 +548,20 @@
         if connection is None or not connection.usable:
             if connection is not None:
                 self._held -= 1
-            self._dial_failed(server)
+            self._dial_failed(server, lone)
             return
+        server.silent_since = None
         server.connections[connection] = None
         connection.retired = not server.open or server.address != address
         self.opened(connection)
 
-    def _dial_failed(self, server: Server) -> None:
+    def _dial_failed(self, server: Server, lone: bool) -> None:
         while server.waiting:
             exchange = server.waiting.popleft()
             if not exchange.over:
                 # Guards against a dead server that looks like a slow one: without its end the attempt
                 # lasts until its time is up, and nobody tries another server.
+                exchange.stale = lone
                 exchange.end(Outcome.CONNECT_FAILED)
                 break
         self._dial_for(server)
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -224,8 +224,8 @@
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
     stale: bool = False
-    """This tells of the connection and not of the server: a kept one broke without a byte of an answer, or a
-    further one had no place."""
+    """This tells of the connection and not of the server: a kept one broke without a byte of an answer, a
+    further one had no place, or one did not come up, for the first time since the server was heard."""
     crowded: bool = False
     """Turned away because the server takes no more connections, and this router has none to it."""
 
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -289,6 +289,11 @@
             self._total += count * weight
 
 
+def of_connection(event: api.AttemptEnded, late: bool) -> bool:
+    """Whether this tells of its connection alone; one that did not come up does however long that took."""
+    return event.stale and (event.outcome is Outcome.CONNECT_FAILED or not late)
+
+
 class Suppressor:
     """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
 
@@ -996,7 +1001,7 @@
             node.unanswered_at = -HOLD_SILENT if answered else self._now
         if event.crowded:
             node.crowded(self._now, self._rng)
-        elif late or not (event.stale or self._too_short(request, node, event)):
+        elif not of_connection(event, late) and (late or not self._too_short(request, node, event)):
             node.judge(event.outcome, late, self._now)
             if answered:
                 node.pace.learn(event.latency)
@@ -1017,7 +1022,7 @@
         request.out = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
-        stale = event.stale and not late
+        stale = of_connection(event, late)
         if fetched:
             self._judge_fetch(node, event, late, request.cls.aim)
         else:
@@ -1050,7 +1055,8 @@
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool, aim: int) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
         self._watch_outage(event, late, aim)
-        if event.latency > aim * SLOW_FETCH_SHARE:
+        mute = of_connection(event, late)
+        if event.latency > aim * SLOW_FETCH_SHARE and not mute:
             # An answer that waited behind this router's own fetches is met by fewer of them, and no sign of
             # trouble while there can be fewer.
             late = late and (event.outcome is not Outcome.OK or self._window <= 1.0)
@@ -1067,7 +1073,7 @@
             self._width += 1 / self._width
             for guard in self._guards.values():
                 guard.rise(self._now)
-        elif late or not (event.stale or event.outcome in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT)):
+        elif not mute and (late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT)):
             # A time-out that is not late had too little time left: not the origin's fault.
             self._origin_bad += (1 - self._origin_bad) / BAD_SAMPLES
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -515,3 +515,13 @@
     router = started(settings(), fleet(3))
     send = only_send(router.handle(request("w", cls="order"), 0))
     assert router.handle(ended(send, Outcome.RESET, stale=True), MS) == [Fail("w")]
+
+
+def test_what_tells_of_a_connection_that_did_not_come_up_ejects_nobody_however_late() -> None:
+    # Found on a day on which a third of them come up late: half of the servers were held dead for a minute.
+    router, late = started(settings(), fleet(5)), 400 * MS  # the aim: 300
+    first = only_send(router.handle(request("r"), 0))
+    other = only_send(router.handle(ended(first, Outcome.CONNECT_FAILED, latency=late, stale=True), late))
+    assert other.server not in (first.server, ORIGIN.id)
+    assert router.avoided(late) == []
+    assert router._caches.nodes[first.server].sound
