--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -24,7 +24,7 @@
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.standins.ports import take_port
 from pebblepass.wire.resp import Command
-from tests.daemon.test_clients import until
+from tests.daemon.test_clients import NoNews, until
 from tests.daemon.test_operations import figures
 from tests.sockets import (
     FACTS,
@@ -237,6 +237,7 @@
     """Answers each request with 8 KiB."""
 
     ready = True
+    lag = NoNews()
     asked = answered = 0
 
     def request_arrived(self, command: Command, reply: Reply) -> None:
