--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -2,10 +2,14 @@
 
     .venv/bin/python benchmarks/request_path.py [--requests 4000] [--json FILE] [--only WORDS]
     .venv/bin/python benchmarks/request_path.py --soak 200000
+    .venv/bin/python benchmarks/request_path.py --sizes [--rounds 7] [--requests 2000]
 
 The daemon as deployed, pinned to one core; nodes and store that answer at once, in another process; clients
 in this one. The relay (uvloop, hiredis, a hash of the key, one connection a node, no decisions) is pinned to
 the same core and asked in turn with the router. CPU is the process's own, read from the scheduler.
+
+`--sizes`: instead of the usual cases, by the answer's size, by servers, by clients' connections and with keys
+that are ever new; all routers side by side, asked in turn, round by round: medians and their spread.
 """
 
 from __future__ import annotations
@@ -13,6 +17,7 @@
 import argparse
 import asyncio
 import json
+import statistics
 import subprocess
 import sys
 import time
@@ -46,6 +51,23 @@
     Case("writes", kind="write", weight=0.5),
 )
 
+# 4.9 Tbit/s over 850,000 requests a second are 720 KB an answer.
+SIZED = (
+    Case("hits of 1 KB"),
+    Case("hits of 16 KB", value=16_000, weight=0.5),
+    Case("hits of 64 KB", value=64_000, weight=0.25),
+    Case("hits of 720 KB", value=720_000, weight=0.1),
+    Case("hits of 4 MiB", value=4 << 20, weight=0.04),
+    Case("12 servers", nodes=12),
+    Case("38 servers", nodes=38),
+    Case("120 servers", nodes=120),
+    Case("10 connections", connections=10),
+    Case("100 connections", connections=100),
+    Case("1,000 connections", connections=1000, sockets=4096),
+    Case("120 servers, keys ever new", nodes=120, keys=0),
+    Case("720 KB, 120 servers, 100 conn.", nodes=120, connections=100, value=720_000, weight=0.1),
+)
+
 
 # The bare relay
 
@@ -146,6 +168,56 @@
     return row
 
 
+async def sizes(site: Site, requests: int, rounds: int, only: str) -> list[dict[str, Any]]:
+    """Ask one router for each sized case in turn, round by round."""
+    cases = [case for case in SIZED if only in case.name]
+    routers = [await site.router(case) for case in cases]
+    counts = [max(int(requests * case.weight), case.connections * case.depth) for case in cases]
+    found: list[list[dict[str, float]]] = [[] for _ in cases]
+    try:
+        for case, router, count in zip(cases, routers, counts, strict=True):
+            await ask(site, router, case, count)
+        for _ in range(rounds):
+            for case, router, count, rows in zip(cases, routers, counts, found, strict=True):
+                rows.append(await ask(site, router, case, count))
+    finally:
+        for router in routers:
+            router.end()
+    return [sized(case, rows) for case, rows in zip(cases, found, strict=True)]
+
+
+def sized(case: Case, rows: list[dict[str, float]]) -> dict[str, Any]:
+    """One case's medians, with the lowest and the highest round."""
+    cpu = sorted(row["cpu_us"] for row in rows)
+    middle = statistics.median(cpu)
+    return {
+        "case": case.name,
+        "value": case.value,
+        "cpu_us": middle,
+        "cpu_us_least": cpu[0],
+        "cpu_us_most": cpu[-1],
+        "a_second_of_a_core": 1e6 / middle,
+        "mb_a_second_of_a_core": case.value / middle,
+        "refused": sum(row["refused"] for row in rows),
+        "failed": sum(row["failed"] for row in rows),
+        "peak_mb": max(row["peak_mb"] for row in rows),
+        "rounds": [row["cpu_us"] for row in rows],
+    }
+
+
+def sized_table(rows: list[dict[str, Any]]) -> str:
+    """The rows of the sized cases as text."""
+    lines = []
+    for row in rows:
+        spread = f"{row['cpu_us_least']:.1f} to {row['cpu_us_most']:.1f}"
+        lines.append(
+            f"{row['case']:>30}  {row['cpu_us']:9.1f} us ({spread})  {row['a_second_of_a_core']:8.0f} a "
+            f"second and {row['mb_a_second_of_a_core']:7.1f} MB a second of a core  "
+            f"peak {row['peak_mb']:.1f} MB  refused {row['refused']:g}  failed {row['failed']:g}"
+        )
+    return "\n".join(lines)
+
+
 def decide(nodes: int, requests: int = 20_000) -> float:
     """Microseconds that the decision module takes for one read that hits, by itself."""
     router = Router(read_settings(settings(("public",))), 7)
@@ -203,6 +275,8 @@
     parser.add_argument("--requests", type=int, default=4_000)
     parser.add_argument("--only", default="", help="cases whose name holds this")
     parser.add_argument("--soak", type=int, default=0, help="so many hits instead, on a healthy fleet")
+    parser.add_argument("--sizes", action="store_true", help="by size, servers, connections, new keys")
+    parser.add_argument("--rounds", type=int, default=7, help="of --sizes")
     parser.add_argument("--json", type=Path)
     parser.add_argument("--relay", nargs="+", type=int, help=argparse.SUPPRESS)
     told = parser.parse_args()
@@ -210,8 +284,11 @@
         relay(told.relay[0], told.relay[1:])
         return
     with stand.site() as site:
-        found = uvloop.run(measure(site, told.requests, told.only, told.soak))
-    print(table(found["rows"]))
+        if told.sizes:
+            found = {"sizes": uvloop.run(sizes(site, told.requests, told.rounds, told.only))}
+        else:
+            found = uvloop.run(measure(site, told.requests, told.only, told.soak))
+    print(sized_table(found["sizes"]) if told.sizes else table(found["rows"]))
     if "decide_us" in found:
         shown = ", ".join(f"{nodes} nodes {us:.1f}" for nodes, us in found["decide_us"].items())
         print(f"the decision module alone, us a read that hits: {shown}")
--- a/benchmarks/stand.py
+++ b/benchmarks/stand.py
@@ -84,6 +84,10 @@
     namespaces: tuple[str, ...] = ("public",)
     weight: float = 1.0
     """The share of the usual number of requests that is asked."""
+    keys: int = KEYS
+    """Different keys that are asked for, in turn; 0: each key once."""
+    sockets: int = 1024
+    """The router's descriptors."""
 
 
 # Nodes and store
@@ -230,7 +234,8 @@
                 b"c=yank,t=%b,d=3000,k=%x" % (name, number),
             )
             return command(*words, bytes(case.value))
-        key = b"m/%d" % number if case.kind == "miss" else b"k%d/%d" % (number % KEYS, case.value)
+        which = number % case.keys if case.keys else number
+        key = b"m/%d" % number if case.kind == "miss" else b"k%d/%d" % (which, case.value)
         return command(b"KV.GET", key, b"%016x" % number, b"c=fetch,t=%b,d=3000" % name)
 
     def answered(self, answer: object, took: float) -> None:
@@ -341,7 +346,7 @@
             "name": "r0",
             "listen": f"127.0.0.1:{port}",
             "discovery": f"127.0.0.1:{agent.address[1]}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": case.sockets},
             "settings": settings(case.namespaces),
         }
         config.write_text(json.dumps(told))
