Play purges through the module, and say whose stale reads would be

Need: of purges it has to be said what is the store's and what the routers': a read that comes after a purge can wait for a fetch that began before it, and nothing showed what that leads to.

Change: `decisions purges` plays routers before shared copies, a purge dropping all copies of a key at once, with a store that keeps or drops what a purge has overtaken. Tests: none stale where it is dropped, and a store that keeps it is seen both in reads that waited and in others.

--- a/pebblepass/scale/decisions.py
+++ b/pebblepass/scale/decisions.py
@@ -1,10 +1,12 @@
 """The unchanged decision module at the size of a fleet: routers on a virtual clock, without sockets.
 
-    python -m pebblepass.scale.decisions limits | health | growth | discovery   [--json FILE]
+    python -m pebblepass.scale.decisions limits | health | purges | growth | discovery   [--json FILE]
 
 `limits`: what the routers' shares of the store's quota let through by the sum. `health`: what a router loses
-before it passes a bad server by. `growth`: whether memory or CPU grow with keys, servers or tenants.
-`discovery`: the list's size, and calls a second, idle and after an outage.
+before it passes a bad server by. `purges`: reads that are answered with what was purged before they came, by
+what the store and the cache servers do with a fetch that a purge has overtaken. `growth`: whether memory or
+CPU grow with keys, servers or tenants. `discovery`: the list's size, and calls a second, idle and after an
+outage.
 """
 
 from __future__ import annotations
@@ -316,6 +318,124 @@
         heapq.heappush(self.due, (now + took, next(self.order), end))
 
 
+# Purges
+
+
+@dataclass(frozen=True)
+class Stale:
+    """Reads answered with what was purged before they came."""
+
+    routers: int
+    kept: bool
+    """Whether the store and the cache servers keep a value that was read before a purge and comes after."""
+    reads: int
+    purges: int
+    overtaken: int
+    """Fetches that were out when their key was purged."""
+    waited: int
+    """Reads that waited for another's fetch."""
+    stale_after_wait: int
+    """Stale ones among these: the fetch had begun before the purge, and they came after it."""
+    stale_else: int
+
+
+class PurgedFleet:
+    """Routers before servers that share no copy, with purges that drop all copies of a key at once."""
+
+    def __init__(self, routers: int, keys: int, kept: bool, seed: int, servers: int = 12) -> None:
+        ample = (Tenant("a", 1.0, 1e7),)
+        settings = Settings((READ,), ample, origin_kind="origin")
+        self.routers = [started(settings, servers, seed * 1000 + n) for n in range(routers)]
+        self.kept, self.rng = kept, random.Random(seed)
+        self.popular = list(itertools.accumulate(1 / (rank + 1) for rank in range(keys)))
+        self.version = [0] * keys
+        self.copies: list[dict[str, int]] = [{} for _ in range(keys)]
+        self.fetching = [0] * keys
+        self.due: list[tuple[int, int, int, AttemptEnded, int]] = []
+        self.order = itertools.count()
+        self.open: dict[str, tuple[int, int]] = {}  # a read's key, and the version when it came
+        self.tries: dict[str, int] = {}
+        self.missed: dict[str, list[str]] = {}
+        self.waiting: set[str] = set()
+        self.reads = self.purges = self.overtaken = self.waited = self.after_wait = self.stale = 0
+
+    def play(self, seconds: int, reads_a_second: float, purges_a_second: float) -> Stale:
+        """Reads by popularity at each router; purges of keys by popularity too."""
+        rate, now = reads_a_second * len(self.routers) / S, 0.0
+        until_purge = self.rng.expovariate(purges_a_second / S)
+        while now < seconds * S:
+            now += self.rng.expovariate(rate)
+            while until_purge < now:
+                self._until(int(until_purge))
+                self._purge(self._key())
+                until_purge += self.rng.expovariate(purges_a_second / S)
+            self._until(int(now))
+            self._read(self.rng.randrange(len(self.routers)), self._key(), int(now))
+        self._until(int(now) + 2 * DEADLINE_NS)
+        counts = self.reads, self.purges, self.overtaken, self.waited, self.after_wait, self.stale
+        return Stale(len(self.routers), self.kept, *counts)
+
+    def _key(self) -> int:
+        return bisect(self.popular, self.rng.random() * self.popular[-1])
+
+    def _purge(self, key: int) -> None:
+        self.purges += 1
+        self.overtaken += self.fetching[key]
+        self.version[key] += 1
+        self.copies[key].clear()
+
+    def _read(self, number: int, key: int, now: int) -> None:
+        name = str(self.reads)
+        self.reads += 1
+        self.open[name] = key, self.version[key]
+        arrived = RequestArrived(name, "read", now + DEADLINE_NS, "a", f"k{key}")
+        self._carry_out(number, self.routers[number].handle(arrived, now), now)
+
+    def _until(self, now: int) -> None:
+        while self.due and self.due[0][0] <= now:
+            then, _, number, end, version = heapq.heappop(self.due)
+            self._ended(number, end, version, then)
+
+    def _ended(self, number: int, end: AttemptEnded, version: int, now: int) -> None:
+        key, came = self.open[end.request]
+        if end.server == ORIGIN.id:
+            self.fetching[key] -= 1
+            if self.kept or version == self.version[key]:
+                for server in self.missed.get(end.request, ()):
+                    self.copies[key][server] = version
+        if end.outcome is Outcome.MISS:
+            self.missed.setdefault(end.request, []).append(end.server)
+        elif version < came and end.request in self.waiting:
+            self.after_wait += 1
+        else:
+            self.stale += version < came
+        sent_again = self._carry_out(number, self.routers[number].handle(end, now), now)
+        if end.outcome is Outcome.MISS and end.request not in sent_again:
+            self.waiting.add(end.request)
+            self.waited += 1
+        elif end.outcome is Outcome.OK:
+            for held in (self.open, self.tries, self.missed):
+                held.pop(end.request, None)
+            self.waiting.discard(end.request)
+
+    def _carry_out(self, number: int, actions: Sequence[Action], now: int) -> set[str]:
+        asked = set()
+        for action in actions:
+            if not isinstance(action, Send):
+                continue
+            asked.add(action.request)
+            key, _ = self.open[action.request]
+            attempt = self.tries[action.request] = self.tries.get(action.request, -1) + 1
+            fetch = action.server == ORIGIN.id
+            self.fetching[key] += fetch
+            version = self.version[key] if fetch else self.copies[key].get(action.server)
+            outcome = Outcome.MISS if version is None else Outcome.OK
+            took = FETCH_NS if fetch else MISS_NS
+            end = AttemptEnded(action.request, attempt, action.server, outcome, outcome is Outcome.OK, took)
+            heapq.heappush(self.due, (now + took, next(self.order), number, end, version or 0))
+        return asked
+
+
 # What grows
 
 
@@ -611,6 +731,32 @@
     _keep(path, rows)
 
 
+@main.command()
+@click.option("--routers", default="1,3,10", callback=_listed(int))
+@click.option("--keys", default=10_000)
+@click.option("--seconds", default=20)
+@click.option("--a-second", default=TARGET_A_SECOND / TARGET_ROUTERS, help="Reads a second at a router.")
+@click.option("--purges", "purged", default=12.0, help="Purges a second, of keys by their popularity.")
+@click.option("--seeds", default="1", callback=_listed(int))
+@_JSON
+def purges(
+    routers: list[int],
+    keys: int,
+    seconds: int,
+    a_second: float,
+    purged: float,
+    seeds: list[int],
+    path: Path | None,
+) -> None:
+    """Reads that are answered with what was purged before they came."""
+    rows = []
+    for count, kept, seed in itertools.product(routers, (False, True), seeds):
+        found = asdict(PurgedFleet(count, keys, kept, seed).play(seconds, a_second, purged))
+        rows.append(found)
+        click.echo("  ".join(f"{key} {value}" for key, value in found.items()))
+    _keep(path, rows)
+
+
 @main.command()
 @click.option("--keys", default="1000,10000,100000,1000000,3000000", callback=_listed(int))
 @click.option("--servers", default=TARGET_SERVERS)
--- a/tests/scale/test_decisions.py
+++ b/tests/scale/test_decisions.py
@@ -9,6 +9,7 @@
     Demand,
     Fault,
     Flow,
+    PurgedFleet,
     Site,
     Split,
     even_parts,
@@ -137,3 +138,16 @@
     assert sum(calls.a_second[8:]) == 40  # each router asks once more, and its watch goes on
     assert calls.most_after < 40
     assert sum(calls.a_second[:8]) < 40 * 8
+
+
+def test_no_read_is_answered_with_what_was_purged_before_it_where_nobody_keeps_that() -> None:
+    found = PurgedFleet(3, keys=5, kept=False, seed=1).play(4, reads_a_second=300, purges_a_second=60)
+    assert found.overtaken > 10
+    assert found.waited > 10
+    assert found.stale_after_wait == found.stale_else == 0
+
+
+def test_a_value_that_is_kept_after_its_purge_is_seen_by_reads_that_waited_and_by_others() -> None:
+    found = PurgedFleet(3, keys=5, kept=True, seed=1).play(4, reads_a_second=300, purges_a_second=60)
+    assert found.stale_after_wait > 0
+    assert found.stale_else > 0
