Read a connection again whose long value ended while its client was full

Ruled out: the nodes (each was asked once for each request not shed), CPU (0.25 s in 3 s). A line in `Connection.start` told a paused transport 11 times over 768 requests, just before those that got no answer. Cause: a client that can take no more pauses its value's source (`clients.pause_writing` -> `Attempt.pause` -> `Connection.pause`); when the value's end came in that same read, the attempt was over, `Attempt.resume` knew no source any more, and the connection went back to the pool paused: the next request's answer stood unread, its server looked silent.

Change: a connection that is freed while paused is read again (`Connection._free`); one look at a flag a request.

--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -144,6 +144,7 @@
         self.retired = False
         self._look: Callable[[], int] | None = None
         self._kept = self._answering = False  # has served before; a part of the answer has come
+        self._not_read = False  # paused, for a client that could take no more
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -196,11 +197,13 @@
     def pause(self) -> None:
         """Stop reading."""
         if self.transport is not None and not self.transport.is_closing():
+            self._not_read = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
         """Read again."""
         if self.transport is not None and not self.transport.is_closing():
+            self._not_read = False
             self.transport.resume_reading()
 
     def finish(self, outcome: Outcome, answer: Answer = NOTHING) -> None:
@@ -222,6 +225,10 @@
 
     def _free(self) -> None:
         self.exchange, self._answering = None, False
+        if self._not_read:
+            # Danger: its client can take no more, and tells the exchange that has ended when it can. The next
+            # one's answer would stand unread, and its server look silent.
+            self.resume()
         self.look_behind()
         self.server.pool.released(self)
 
--- a/tests/daemon/test_upstream.py
+++ b/tests/daemon/test_upstream.py
@@ -10,7 +10,7 @@
 
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.origin import OriginConnection
-from pebblepass.daemon.upstream import PER_SERVER, Answer, Exchange, Pool
+from pebblepass.daemon.upstream import PER_SERVER, Answer, Exchange, Pool, ValueSource
 from pebblepass.decisions import Outcome
 from pebblepass.rehearsal.clock import VirtualLoop
 from pebblepass.standins.ports import take_port
@@ -42,6 +42,23 @@
         return await asyncio.wait_for(asyncio.shield(self.end_came), PATIENCE_S)
 
 
+class AskLong(Ask):
+    """Its client can take no more with the value's last part, and again in a while."""
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        self._left, self._source = length, source
+
+    def value_came(self, data: bytes) -> None:
+        self._left -= len(data)
+        if not self._left:
+            self._source.pause()
+            asyncio.get_running_loop().call_later(0.05, self._client_takes_again)
+
+    def _client_takes_again(self) -> None:
+        if not self.over:
+            self._source.resume()
+
+
 class Stand:
     """A pool with one server that answers as told; b"" answers nothing."""
 
@@ -290,3 +307,19 @@
         slow.give_up(Outcome.TIMEOUT)
 
     with_pool(test)
+
+
+@pytest.mark.parametrize("is_http", [False, True])
+def test_connection_is_read_again_after_a_value_whose_client_took_its_end_late(is_http: bool) -> None:
+    async def test(stand: Stand) -> None:
+        value = bytes(100_000)
+        stand.answer = lambda name: http_answer(200, value) if is_http else hit(value)
+        exchange = AskLong(b"long", is_http)
+        stand.pool.submit("s1", exchange)
+        assert (await exchange.came())[0] is Outcome.OK
+        stand.answer = lambda name: http_answer(200, name) if is_http else hit(name)
+        await asyncio.sleep(0.02)  # it has rested, and is used again
+        assert await asyncio.wait_for(stand.ask(b"next"), 2.0) == (Outcome.OK, b"next")
+        assert stand.accepted == 1
+
+    with_pool(test, is_http=is_http)
