Let the known-broken programs not know of the schedules that play them

The variants of `trials/broken.py` named the world of `trials/schedule.py`, which imports them: a circle of imports, hidden behind TYPE_CHECKING.

A variant is given the routers' disks, the one thing of the world that any of them touches.

`disk-that-lies`, the one variant that uses it, is caught as before (its test in tests/trials/test_schedules.py passes).

--- a/pebblepass/trials/broken.py
+++ b/pebblepass/trials/broken.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Iterable
+from typing import Any
 
 from pebblepass.agreement import messages as m
 from pebblepass.agreement.member import InForce, Member
 from pebblepass.durable.log import Log
-
-if TYPE_CHECKING:
-    from pebblepass.trials.schedule import World
+from pebblepass.trials.disk import PowerDisk
 
 
 class Variant:
@@ -29,8 +28,8 @@
         """What admits."""
         return sound
 
-    def disturb(self, world: World) -> None:
-        """What else befalls the world; not what is broken."""
+    def disturb(self, disks: Iterable[PowerDisk]) -> None:
+        """What else befalls the routers' disks; not what is broken."""
 
 
 class _NoSync(Variant):
@@ -260,9 +259,9 @@
 
     name = "disk-that-lies"
 
-    def disturb(self, world: World) -> None:
-        for router in world.routers.values():
-            router.disk.lies = True
+    def disturb(self, disks: Iterable[PowerDisk]) -> None:
+        for disk in disks:
+            disk.lies = True
 
 
 VARIANTS: dict[str, Variant] = {
--- a/pebblepass/trials/schedule.py
+++ b/pebblepass/trials/schedule.py
@@ -468,7 +468,7 @@
     end = busy + int(plan.quiet_s * 1e9)
     draw_faults(world, busy)
     world.stop_admissions(end)
-    variant.disturb(world)
+    variant.disturb([router.disk for router in world.routers.values()])
     world.run_until(busy)
     world.losses = 0.0
     world.cut.clear()
