Hold the floor from the start of a router, until it has its first lease

One that had just started was told of no policy at all until its first lease, or its first news of a version: it admitted its whole even part of each quota, four times the floor, while others may have had more by a version that it did not know.

A member's start tells that nothing is in force yet.

tests/agreement/test_member.py, a router that starts is at the floor: seen to fail on the code before.

--- a/pebblepass/agreement/member.py
+++ b/pebblepass/agreement/member.py
@@ -227,6 +227,8 @@
     def start(self, now: int) -> list[Action]:
         """Begin: what was found on the disk counts from when this start is on it too."""
         self._begin(now)
+        # It holds no lease: until it has one it admits what the floor lets through, as all without one.
+        self._actions.append(InForce(self.decided, 0))
         if self.incarnation:
             self.boots += 1
             self._boot_token = self._write(m.Booted(self.incarnation, self.boots))
--- a/tests/agreement/test_member.py
+++ b/tests/agreement/test_member.py
@@ -15,6 +15,10 @@
 HEAD = Head("test", 1, "f/r0")
 
 
+MEMBERS = dict.fromkeys(("r0", "r1", "r2"), "x:1")
+DECIDED = m.Value(1, "form", "form", Policy(), m.Fleet(MEMBERS, {n: f"{n}.disk" for n in MEMBERS}), {})
+
+
 def setup(*voters: str) -> Setup:
     first = genesis(dict.fromkeys(voters, "x:1"), voters)
     return Setup("r0", "boot", TERMS, first, lambda before, after: "", "r0.disk")
@@ -25,6 +29,14 @@
     return member, member.start(now)
 
 
+def test_a_router_that_starts_is_at_the_floor_until_it_has_a_lease() -> None:
+    kept: list[m.Record] = [m.Whole("r0.disk", 1, DECIDED, None, None, None, {}, (), 0, ())]
+    for records in (None, kept):
+        member = Member(setup("r0", "r1", "r2"), records, 0)
+        told = [each for each in member.start(0) if isinstance(each, InForce)]
+        assert [(each.value, each.until) for each in told] == [(member.decided, 0)]
+
+
 def test_nothing_is_promised_before_it_lasts() -> None:
     made = setup("r0", "r1", "r2")
     fleet = m.Fleet(dict.fromkeys(("r0", "r1", "r2"), "x:1"), {n: f"{n}.disk" for n in ("r0", "r1", "r2")})
