Split the store's quotas by what routers fetch: shares, granted like leases

With `[store] shares = true` in the policy, decided as any of it, each of the V voters owns 1/V of what the floors leave of each quota, and hands it out by itself: a router's renewal tells its demand and the grant of that voter that it has applied, the grant tells its share. A voter counts the largest of what a router may still hold. The decisions are told by PolicyChanged; a share that moves keeps the limit's part of the cap. Without that line nothing of it runs, and messages are as they were.

--- a/pebblepass/agreement/leases.py
+++ b/pebblepass/agreement/leases.py
@@ -116,6 +116,10 @@
         self._asked.pop(self._seq - 8, None)
         return self._seq
 
+    def asked_at(self, seq: int) -> int | None:
+        """When a question was sent; None: too long ago, or on another version."""
+        return self._asked.get(seq)
+
     def granted(self, voter: str, seq: int, version: int) -> None:
         """A voter has granted it."""
         asked_at = self._asked.get(seq)
--- a/pebblepass/agreement/member.py
+++ b/pebblepass/agreement/member.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from msgspec import Struct
 
@@ -16,6 +16,7 @@
 from pebblepass.agreement.changes import Change, Phase
 from pebblepass.agreement.leases import Granter, Holder, Terms
 from pebblepass.agreement.policy import Check, Policy, difference
+from pebblepass.agreement.shares import Allocator, Demand, Pool, Rows, ShareHolder
 from pebblepass.agreement.voting import Acceptor, Reply, quorum
 from pebblepass.peers.view import Liveness, View
 
@@ -47,6 +48,9 @@
 
     value: m.Value
     until: int
+    shares: Rows = ()
+    """What it may fetch beyond its floors, where the policy splits quotas so."""
+    shares_until: int = 0
 
 
 class Conclude(Struct, frozen=True):
@@ -72,6 +76,20 @@
     return m.Value(0, "", "none", Policy(), m.Fleet(dict(members), dict.fromkeys(voters, "")), {})
 
 
+Pools = Callable[[Policy, int], Mapping[str, Pool]]
+"""What a policy has to share among so many members."""
+
+
+def no_pools(policy: Policy, members: int) -> Mapping[str, Pool]:
+    """Nothing is shared."""
+    return {}
+
+
+def no_demand() -> Mapping[str, int]:
+    """Nothing is counted."""
+    return {}
+
+
 class Setup(Struct, frozen=True):
     """What a member is told at its start."""
 
@@ -84,11 +102,18 @@
     fresh: str
     """The incarnation of its disk, if that is empty; empty: it keeps none, and does not vote."""
     seed: int = 0
+    pools: Pools = no_pools
+    wanted: Callable[[], Mapping[str, int]] = no_demand
+    """How many fetches each namespace has wanted so far."""
 
 
 class Member:
     """One router's part. Begin with `start`; feed it `received`, `written`, `propose` and `tick` by `due`."""
 
+    allocator_class = Allocator
+    share_holder_class = ShareHolder
+    """The rules of shares; a trial of a broken program puts others here."""
+
     def __init__(self, setup: Setup, records: list[m.Record] | None, now: int) -> None:
         """`records`: what its disk holds; None: nothing, or there is no disk."""
         self.setup, self.name, self.terms = setup, setup.name, setup.terms
@@ -104,10 +129,14 @@
         self.change: Change | None = None
         self.view = View(setup.terms.renewal, now)
         self.holder = Holder(setup.terms)
+        self.share_holder = self.share_holder_class(setup.terms)
+        self.demand = Demand()
         self.problem = ""
         """Why this router can't use the version decided."""
         self.until = 0
         """Until when it may admit under the version decided."""
+        self._shares: tuple[Rows, int] = ((), 0)
+        self._loosened: list[tuple[str, str, m.Applied]] = []  # what is free once the new share is told
         self.serving = 0
         """The version that it last held a lease on."""
         self.lasting = 0
@@ -132,6 +161,7 @@
         for record in records or ():
             self._restore(record)
         self.granter = Granter(setup.terms, now, restarted=bool(records))
+        self.allocator = self.allocator_class(setup.terms, now, restarted=bool(records))
         self.lasting = self.decided.version
         self.holder.begin(self.decided.version)
         self._unusable()
@@ -269,6 +299,8 @@
     def due(self, now: int) -> int:
         """When `tick` has something to do."""
         times = [self._renew_at]
+        if (spent := self.share_holder.due(now)) is not None:
+            times.append(spent)
         if self.change is not None:
             times.append(self.change.due)
         elif self._takeover_at() is not None:
@@ -283,11 +315,20 @@
         self._now, self._actions = now, []
 
     def _finish(self) -> list[Action]:
-        while self._inbox:
-            self._take(self._inbox.popleft())
+        self._take_own()
         self._refresh()
+        if self._loosened:
+            # Danger: told before the new share is, another router could have what this one still admits by.
+            loosened, self._loosened = self._loosened, []
+            for name, boot, body in loosened:
+                self._send(name, body, boot)
+            self._take_own()
         return self._actions
 
+    def _take_own(self) -> None:
+        while self._inbox:
+            self._take(self._inbox.popleft())
+
     # Sending and writing
 
     def _send(self, to: str, body: m.Body, boot: str = "") -> None:
@@ -330,6 +371,9 @@
             case m.Grant() if body.boot == self.setup.boot:
                 if sender.incarnation == self.voters.get(sender.name):
                     self.holder.granted(sender.name, body.seq, body.version)
+                    self._shared(sender, body)
+            case m.Applied():
+                self.allocator.applied((sender.name, sender.boot), body.version, body.seq, self._now)
             case m.Welcome() if body.boot == self.setup.boot:
                 self._confirmed.add(sender.name)
             case m.Learn():
@@ -427,6 +471,9 @@
         if sender.name not in self.decided.fleet.members or self._is_older(sender):
             return
         if self.granter.asked(sender.name, sender.boot, body.seq, body.version, self._now):
+            if self.decided.policy.store.shares:
+                who = sender.name, sender.boot
+                self.allocator.asked(who, body.version, body.applied, body.demand, self._now)
             self._grant()
 
     def _grant(self) -> None:
@@ -434,25 +481,50 @@
         version = self.decided.version
         if version < 1 or not self.votes or self.lasting < version or self.closed < version - 1:
             return
-        for name, boot, seq in self.granter.grant(version, self._now):
-            self._send(name, m.Grant(seq, version, boot), boot)
+        granted = self.granter.grant(version, self._now)
+        if granted and self.decided.policy.store.shares:
+            fleet, policy = self.decided.fleet, self.decided.policy
+            if self.allocator.version != version:
+                pools = self.setup.pools(policy, len(fleet.members))
+                self.allocator.begin(version, pools, len(fleet.voters))
+        for name, boot, seq in granted:
+            shares: Rows = ()
+            if self.decided.policy.store.shares:
+                shares = self.allocator.grant((name, boot), seq, self._now)
+            self._send(name, m.Grant(seq, version, boot, shares), boot)
+
+    def _shared(self, sender: m.Sender, body: m.Grant) -> None:
+        """A voter has granted a share, maybe of nothing."""
+        asked_at = self.holder.asked_at(body.seq)
+        if not self.decided.policy.store.shares or body.version != self.decided.version or asked_at is None:
+            return
+        if self.share_holder.granted(sender.name, body.seq, asked_at, body.shares):
+            self._loosened.append((sender.name, sender.boot, m.Applied(body.seq, body.version)))
 
     def _renew(self) -> None:
         self._renew_at = self._now + int(self.terms.renewal * self.rng.uniform(0.8, 1.0))
         if self.decided.version < 1 or self.name not in self.decided.fleet.members:
             self._send_all((name for name in self.voters if name != self.name), m.State())
             return
-        body = m.Renew(self.holder.ask(self._now), self.decided.version)
+        seq, version = self.holder.ask(self._now), self.decided.version
+        demand: Rows = ()
+        if self.decided.policy.store.shares:
+            demand = self.demand.rows(self.setup.wanted(), self._now)
         # The voters of the version before hear it too: it lets go of what they granted.
-        self._send_all(dict.fromkeys([*self.voters, *self.decided.before]), body)
+        for name in dict.fromkeys([*self.voters, *self.decided.before]):
+            self._send(name, m.Renew(seq, version, self.share_holder.applied(name), demand))
 
     def _refresh(self) -> None:
         """Tell what may be admitted under, if that has changed."""
         until = self.holder.until(self.voters, self.needed) if self.decided.version else 0
         if self.problem:
             until = 0
-        if until == self.until:
+        shares = self.share_holder.held(self._now) if until else ((), 0)
+        if until == self.until and shares == self._shares:
             return
+        had, self._shares = self._shares, shares
+        if bool(had[0]) != bool(shares[0]):
+            self._note("shares" if shares[0] else "no shares", cause=_amounts(shares[0]))
         fresh = self.until <= self._now < until
         self.until = until
         if fresh and self.serving != self.decided.version:
@@ -461,7 +533,7 @@
             if self.decided.by and self.decided.by != self.name:
                 self._send(self.decided.by, m.State())
             self._reached()
-        self._actions.append(InForce(self.decided, until))
+        self._actions.append(InForce(self.decided, until, *shares))
 
     def _close(self, version: int) -> None:
         self.closed = version
@@ -555,6 +627,9 @@
         else:
             self.lasting = value.version
         self.holder.begin(value.version)
+        self.share_holder.begin()
+        self._loosened.clear()
+        self._shares = (), 0
         self.until = 0
         self._unusable(before.policy)
         self._note("learned", source)
@@ -918,12 +993,35 @@
             "closed": self.closed,
             "votes": self.votes,
             "problem": self.problem,
+            "shares": self.told_shares(now),
             "open": self.acceptor.value.change if self.acceptor.value is not None else "",
             "voters": sorted(self.voters),
             "needed": self.needed,
             "routers": others,
         }
 
+    def told_shares(self, now: int) -> dict[str, object]:
+        """What this router may fetch beyond its floors, of which voter it has it, and why it is no more."""
+        if not self.decided.policy.store.shares:
+            return {"on": False}
+        rows, until = self.share_holder.held(now) if self.may_admit(now) else ((), 0)
+        lacking = sorted(set(self.voters) - self.share_holder.granting(now))
+        why = "" if self.may_admit(now) else "no lease on the version decided: at the floor"
+        if not why and lacking:
+            why = f"no share of {', '.join(lacking)}: down, cut off, or started lately"
+        told: dict[str, object] = {
+            "on": True,
+            "per_s": dict(rows),
+            "lease_ms": max(round((until - now) / 1e6), 0),
+            "demand_per_s": dict(self.demand.told()),
+            "of": self.share_holder.told(now),
+            "why": why,
+        }
+        if self.votes:
+            told["hands_out"] = self.allocator.told()
+            told["quiet_ms"] = max(round((self.allocator.quiet_from - now) / 1e6), 0)
+        return told
+
     def told_history(self) -> list[dict[str, object]]:
         """The versions kept, the newest first, each with its difference to the one before."""
         kept, rows = list(self.history), []
@@ -941,3 +1039,7 @@
                 }
             )
         return rows[::-1]
+
+
+def _amounts(rows: Rows) -> str:
+    return ", ".join(f"{name} {amount:.3g}" for name, amount in rows)
--- a/pebblepass/agreement/messages.py
+++ b/pebblepass/agreement/messages.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Literal
+import math
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -87,20 +88,38 @@
     """Whether enough voters have heard of this start."""
 
 
-class Renew(msgspec.Struct, frozen=True, tag="renew"):
+PerSecond = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Rows = tuple[tuple[str, PerSecond], ...]
+"""Namespaces, and fetches a second."""
+
+
+class Renew(msgspec.Struct, frozen=True, tag="renew", omit_defaults=True):
     """A router asks for its lease on a version, and lets go of all older ones."""
 
     seq: int
     version: int
+    applied: int = 0
+    """Where shares are split: the question whose grant of this voter it has applied last."""
+    demand: Rows = ()
+    """What it would fetch."""
 
 
-class Grant(msgspec.Struct, frozen=True, tag="grant"):
+class Grant(msgspec.Struct, frozen=True, tag="grant", omit_defaults=True):
     """A voter grants it; the lease runs from when the question was sent."""
 
     seq: int
     version: int
     boot: str
     """The run of the process that asked: in an upgrade two of one name are there."""
+    shares: Rows = ()
+    """Of this voter's part, for as long as the lease."""
+
+
+class Applied(msgspec.Struct, frozen=True, tag="applied"):
+    """A router has applied a share that took much away: what it held before is free."""
+
+    seq: int
+    version: int
 
 
 class State(msgspec.Struct, frozen=True, tag="state"):
@@ -214,6 +233,7 @@
 Body = (
     Renew
     | Grant
+    | Applied
     | State
     | Welcome
     | Learn
@@ -311,7 +331,13 @@
 
 def read_message(data: bytes) -> Message:
     """Read a message; raises ValueError in one plain line."""
-    return _message.decode(data)
+    message = _message.decode(data)
+    if isinstance(message.body, Renew | Grant):
+        rows = message.body.demand if isinstance(message.body, Renew) else message.body.shares
+        # Danger: a NaN is neither over nor under a bound, and would spoil every sum that it gets into.
+        if any(math.isnan(rate) for _, rate in rows):
+            raise ValueError("a rate that is no number")
+    return message
 
 
 def read_record(data: bytes) -> Record:
--- a/pebblepass/agreement/policy.py
+++ b/pebblepass/agreement/policy.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pebblepass.agreement.shares import Pool
 from pebblepass.decisions.interface import NamespaceHeld, PolicyHeld, Settings
 
 ROUNDING = 1e-9  # sums of portions
@@ -42,6 +43,9 @@
     window_s: (
         Annotated[float, msgspec.Meta(ge=1, le=60, description="seconds over which calls are counted")] | None
     ) = None
+    shares: Annotated[
+        bool, msgspec.Meta(description="split each quota by what routers fetch, and not evenly")
+    ] = False
 
 
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -97,6 +101,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._tenants = {tenant.name: tenant for tenant in settings.tenants}
+        self._routers = settings.routers
 
     def check(self, before: Policy, after: Policy) -> str:
         """See Check."""
@@ -124,6 +129,27 @@
                 yield f"store.rate_per_s: {rate:g} leaves {name} under its floor; {least:g} would do"
         if sum(self._portion(after, name) for name in self._tenants) > 1 + ROUNDING:
             yield "namespaces: the portions add up to more than 1"
+        if after.store.shares and not any(pool.shared > 0 for pool in self.pools(after, 0).values()):
+            yield "store.shares: no namespace has a quota beyond its floors"
+
+    def pools(self, policy: Policy, members: int) -> dict[str, Pool]:
+        """What there is to share of each stated quota, and each router's floor; `members`: of the fleet.
+
+        The floors are set aside for every router, those that are down or cut off among them.
+        """
+        if not policy.store.shares:
+            return {}
+        found = {}
+        for name, tenant in self._tenants.items():
+            if tenant.quota_per_s:
+                told = policy.namespaces.get(name)
+                quota = tenant.quota_per_s if told is None or told.quota_per_s is None else told.quota_per_s
+                if policy.store.rate_per_s is not None:
+                    quota = min(quota, policy.store.rate_per_s * self._portion(policy, name))
+                floor = tenant.quota_per_s * policy.floor_share / self._routers
+                shared = max(quota - floor * max(members, self._routers), 0.0)
+                found[name] = Pool(shared, floor)
+        return found
 
     def _portion(self, policy: Policy, name: str) -> float:
         told = policy.namespaces.get(name)
@@ -145,6 +171,7 @@
         store.window_s,
         policy.held_out,
         policy.floor_share,
+        store.shares,
     )
 
 
--- a/pebblepass/daemon/fleet.py
+++ b/pebblepass/daemon/fleet.py
@@ -60,14 +60,17 @@
             raise ConfigError(f"fleet.directory {section.directory}: {error}") from None
         boot = os.urandom(6).hex()
         terms = Terms(section.lease_ms * 1_000_000, section.drift)
+        ground = Ground(host.settings)
         setup = Setup(
             self.name,
             boot,
             terms,
             genesis(dict(section.members), section.voters),
-            Ground(host.settings).check,
+            ground.check,
             f"{self.name}.{boot}" if disk is not None else "",
             config.seed,
+            ground.pools,
+            host.wanted,
         )
         self._setup = setup
         self._ready_at = host.now() + int(section.alone_after_s * 1e9)
@@ -121,7 +124,7 @@
 
     def _in_force(self, action: InForce) -> None:
         policy = held(action.value.version, action.value.policy)
-        self._host.tell(PolicyChanged(policy, action.until))
+        self._host.tell(PolicyChanged(policy, action.until, action.shares, action.shares_until))
 
     def _step(self, note: Note) -> None:
         self.steps[note.event] += 1
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -191,6 +191,10 @@
         """The fetches a second that each namespace may have now."""
         return self._router.limits()
 
+    def wanted(self) -> dict[str, int]:
+        """The fetches that each namespace has wanted of the store so far, and its writes."""
+        return self._router.wanted()
+
     def listed(self) -> list[Server]:
         """The ready servers, as they were listed last."""
         return self._router.listed()
--- a/pebblepass/decisions/interface.py
+++ b/pebblepass/decisions/interface.py
@@ -348,16 +348,22 @@
     """Servers that get nothing new."""
     floor_share: float
     """Of a quota in the settings: what a router holds that can't tell which version is in force."""
+    shares: bool = False
+    """Whether a stated quota is split by shares: a router has its floor, and what it is granted beside it."""
 
 
 class PolicyChanged(Struct, frozen=True):
     """The version decided, and until when (clock time) this router may admit under it.
 
-    From then on, and from the start where `until` is past, it admits what the floor lets through.
+    From then on, and from the start where `until` is past, it admits what the floor lets through. Where the
+    policy has shares, it admits what the floor and these let through until `shares_until`.
     """
 
     policy: PolicyHeld
     until: int
+    shares: tuple[tuple[str, float], ...] = ()
+    """Namespaces, and fetches a second beyond the floor."""
+    shares_until: int = 0
 
 
 Event = (
--- a/pebblepass/decisions/logic.py
+++ b/pebblepass/decisions/logic.py
@@ -298,36 +298,63 @@
         self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
         self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
         self._calls: deque[tuple[int, bool]] = deque()
-        self.declined = 0
+        self.declined = self.wanted = 0  # wanted: fetches and writes so far, those tried again once
         self.hard_factor = HARD_LIMIT_FACTOR
         self._stated = self.portion, self.cap, self.window_s
+        self._has_quota, self._shared = tenant.quota_per_s > 0, False
+        self._gap, self._gap_at = 0.0, 0  # by what the limit was higher before its share fell, and when
         self._tuned: float | None = None  # the limit before the floor, while that holds
         self._rng = rng
         self._chance, self._chance_until = 1.0, 0
         self._last_rise = 0
 
-    def hold(self, policy: api.PolicyHeld, told: api.NamespaceHeld | None, routers: int, floor: bool) -> None:
-        """Take a policy over, or, for a router that can't tell whether it still is in force, the floor."""
+    def hold(
+        self,
+        policy: api.PolicyHeld,
+        told: api.NamespaceHeld | None,
+        routers: int,
+        share: float | None,
+        now: int,
+    ) -> None:
+        """Take a policy over; or the floor, for a router that can't tell whether it still is in force.
+
+        `share`: what it is granted beyond the floor, where the policy splits quotas so; None: the floor.
+        """
         portion, cap, window_s = self._stated
         if told is not None:
             portion = portion if told.portion is None else told.portion
             cap = cap if told.quota_per_s is None else told.quota_per_s / routers
         if policy.rate_per_s is not None:
             cap = min(cap, policy.rate_per_s * portion / routers)
-        if floor:
-            cap = min(cap, self._stated[1] * policy.floor_share)
+        shared, full = policy.shares and self._has_quota, cap
+        used = self.limit / self.cap if self.cap else 1.0
+        if share is None or shared:
+            cap = min(cap, self._stated[1] * policy.floor_share) + (share or 0.0)
         self.portion, self.cap, self.hard_factor = portion, cap, policy.hard_factor
         self.window_s = window_s if policy.window_s is None else policy.window_s
         self.floor = min(1 / self.window_s, cap)
         # What was tuned before the floor holds again after it: it was no sign of the origin's.
         tuned = self.limit if self._tuned is None else self._tuned
-        self.limit, self._tuned = min(tuned, cap), tuned if floor else None
+        if self._shared and not shared:
+            tuned = used * full
+        eased = self.limit + self._eased(now)
+        self.limit, self._tuned = min(tuned, cap), tuned if share is None else None
+        if shared:  # a share that moves is no sign of the origin's either: of the cap it keeps its part
+            self.limit, self._tuned = min(used, 1.0) * cap, None
+        # Calls that the window holds from before a share fell were allowed then: nobody pays for them now.
+        self._gap, self._gap_at = max(eased - self.limit, 0.0) if shared and share else 0.0, now
+        self._shared = shared
         self._chance_until = 0
 
+    def _eased(self, now: int) -> float:
+        """What is left of the gap: about half of the window's calls are from before half a window."""
+        return self._gap * math.exp((self._gap_at - now) / NS_PER_S * 2 / self.window_s) if self._gap else 0.0
+
     def count(self, now: int, declined: bool = False) -> None:
         """Count one call to the origin."""
         self._calls.append((now, declined))
         self.declined += declined
+        self.wanted += 1
 
     def known(self, tenant: str, now: int) -> api.LimitKnown:
         """The limit and the window's calls, for another router."""
@@ -351,9 +378,9 @@
             self.declined -= self._calls.popleft()[1]
         return len(self._calls) - self.declined
 
-    def admit(self, now: int) -> bool:
-        """Decide on one fetch, and count it."""
-        accepted, soft = self.accepted(now), self.window_s * self.limit
+    def admit(self, now: int, again: bool = False) -> bool:
+        """Decide on one fetch, and count it; `again`: its client has asked for it before."""
+        accepted, soft = self.accepted(now), self.window_s * (self.limit + self._eased(now))
         over = len(self._calls) >= soft * self.hard_factor
         allowed = not (over and accepted >= soft)
         if allowed and self._calls and (over or accepted >= soft):
@@ -361,6 +388,7 @@
             # every retry counts anew; while accepted is under the soft limit the chance holds instead.
             allowed = self._rng.random() < self.chance(now)
         self.count(now, declined=not allowed)
+        self.wanted -= again
         return allowed
 
     def chance(self, now: int) -> float:
@@ -380,7 +408,7 @@
 
     def cut(self, now: int) -> None:
         """Multiplicative cut from what was really used, harder for a tenant over its portion."""
-        self._last_rise = now
+        self._last_rise, self._gap = now, 0.0
         used = min(self.limit, max(self.accepted(now), 1) / self.window_s)
         self.limit = max(self.floor, used * CUT ** min(max(self.excess, 0.5), 2.0))
 
@@ -452,6 +480,7 @@
     command: Command | None = None
     queued = False  # stands in its command's line for a fetch
     lined = False  # stands in line for the origin
+    again = False  # its client has asked for it before
     placed = False  # counts among its command's fetches
     twin: Node | None = None  # asked for a second copy while the first is out
 
@@ -516,6 +545,8 @@
         self._lag = 0  # how late this router's own loop runs
         self._policy: api.PolicyHeld | None = None
         self._policy_until = math.inf  # when it can't be told any more whether the policy is in force
+        self._shares: dict[str, float] = {}
+        self._shares_until = math.inf
         self._held_out: dict[str, api.Server] = {}  # ready, and to get nothing new by the policy
         self._now = 0
         self._actions: list[api.Action] = []
@@ -525,6 +556,9 @@
         self._now, self._actions = now, []
         if now >= self._policy_until:  # by the clock at each event: a process may have been stopped for long
             self._hold_policy(floor=True)
+        elif now >= self._shares_until:
+            self._shares, self._shares_until = {}, math.inf
+            self._hold_policy(floor=False)
         match event:
             case api.AttemptEnded():
                 self._attempt_ended(event)
@@ -554,6 +588,10 @@
         """The fetches a second that each tenant may have now, for the account of them only."""
         return {name: guard.limit for name, guard in self._guards.items() if name}
 
+    def wanted(self) -> dict[str, int]:
+        """The fetches and writes that each tenant has asked of the origin so far, refused ones once."""
+        return {name: guard.wanted for name, guard in self._guards.items() if name}
+
     def listed(self) -> list[api.Server]:
         """The ready servers, the origin among them, as they were listed last."""
         held = [node.entry for table in (self._caches, self._origins) for node in table.nodes.values()]
@@ -624,6 +662,9 @@
 
     def _change_policy(self, event: api.PolicyChanged) -> None:
         same = self._policy == event.policy and self._policy_until != math.inf
+        shares = dict(event.shares) if self._now < event.shares_until else {}
+        same = same and shares == self._shares
+        self._shares, self._shares_until = shares, event.shares_until if shares else math.inf
         before = self._policy.held_out if self._policy is not None else ()
         self._policy = event.policy
         if self._now >= event.until:
@@ -639,11 +680,12 @@
 
     def _hold_policy(self, floor: bool) -> None:
         if floor:
-            self._policy_until = math.inf
+            self._policy_until, self._shares, self._shares_until = math.inf, {}, math.inf
         if self._policy is not None:
             told = {each.name: each for each in self._policy.namespaces}
             for name, guard in self._guards.items():
-                guard.hold(self._policy, told.get(name), self._settings.routers, floor)
+                share = None if floor else self._shares.get(name, 0.0)
+                guard.hold(self._policy, told.get(name), self._settings.routers, share, self._now)
 
     def _without_held(self, ready: list[api.Server], event: api.ServersChanged) -> list[api.Server]:
         out = self._policy.held_out if self._policy is not None else ()
@@ -684,6 +726,8 @@
         request = Request(event.request, event.key, event.deadline, event.write, cls, guard)
         request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
         self._requests[request.id] = request
+        if event.retry:
+            request.again = True
         if request.write and self._settings.origin_kind is not None:
             self._fetch(request)
         else:
@@ -907,9 +951,11 @@
             return
         if request.write:
             request.guard.count(self._now)
-        elif not (request.guard.admit(self._now) or self._outage.ask(self._now)):
-            self._give_up(request, Reason.LIMIT)
-            return
+        else:
+            again = request.again or request.refetching
+            if not (request.guard.admit(self._now, again) or self._outage.ask(self._now)):
+                self._give_up(request, Reason.LIMIT)
+                return
         if request.key is not None and not request.write:
             self._flights.setdefault(request.key, [])
             request.leads = True
--- a/pebblepass/trials/broken.py
+++ b/pebblepass/trials/broken.py
@@ -7,6 +7,7 @@
 
 from pebblepass.agreement import messages as m
 from pebblepass.agreement.member import InForce, Member
+from pebblepass.agreement.shares import Allocator, Pool, Rows, ShareHolder
 from pebblepass.durable.log import Log
 from pebblepass.trials.disk import PowerDisk
 
@@ -264,6 +265,126 @@
             disk.lies = True
 
 
+class _LastGrant(Variant):
+    """A voter counts only the last share that it granted a router, which may never have come."""
+
+    name = "share-counted-by-its-last-grant"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Last(Allocator):
+            def grant(self, who: tuple[str, str], seq: int, now: int) -> Rows:
+                client = self._clients.get(who)
+                if client is not None:
+                    client.grants.clear()
+                    self._count(client)
+                return super().grant(who, seq, now)
+
+        return _with(sound, Last)
+
+
+class _FreedAtTheAnswer(Variant):
+    """A voter takes a router's next question for its word that it has applied the last share."""
+
+    name = "share-freed-at-the-answer"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Hopeful(Allocator):
+            def asked(self, who: Any, version: int, applied: int, demand: Any, now: int) -> None:
+                client = self._clients.get(who)
+                if client is not None and client.grants and version == self.version:
+                    applied = client.grants[-1][0]
+                super().asked(who, version, applied, demand, now)
+
+        return _with(sound, Hopeful)
+
+
+class _SharesForgotten(Variant):
+    """A voter that was restarted takes its shares for over."""
+
+    name = "shares-forgotten-at-restart"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Blank(Allocator):
+            def __init__(self, terms: Any, now: int, restarted: bool) -> None:
+                super().__init__(terms, now, restarted=False)
+
+        return _with(sound, Blank)
+
+
+class _NoFloors(Variant):
+    """The floors are not set aside: whoever is at the floor comes on top."""
+
+    name = "floors-not-set-aside"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Whole(Allocator):
+            def begin(self, version: int, pools: Any, voters: int) -> None:
+                whole = {n: Pool(p.shared * 4 / 3, p.floor) for n, p in pools.items()}
+                super().begin(version, whole, voters)
+
+        return _with(sound, Whole)
+
+
+class _OverAVersion(Variant):
+    """A router keeps its shares when it begins another version."""
+
+    name = "share-kept-over-a-version"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Keeping(ShareHolder):
+            def begin(self) -> None:
+                pass
+
+        return _with(sound, holder=Keeping)
+
+
+class _PastItsLease(Variant):
+    """A router admits by a share until it hears of another."""
+
+    name = "share-kept-past-its-lease"
+
+    def admitter(self, sound: Any) -> Any:
+        class Keeping(sound):  # type: ignore[misc]
+            def share_now(self, now: int) -> float:
+                return float(self.share)
+
+            def admits(self, now: int) -> int:
+                return int(self.version)
+
+        return Keeping
+
+
+class _ShareByWallClock(Variant):
+    """A voter counts its shares' ends by the wall clock, which is set forward now and then."""
+
+    name = "share-by-wall-clock"
+
+    def member(self, sound: type[Member]) -> type[Member]:
+        class Wall(Allocator):
+            def _sweep(self, now: int) -> None:
+                super()._sweep(now + (now // 3_000_000_000 % 2) * 2_000_000_000)
+
+            def applied(self, who: Any, version: int, applied: int, now: int) -> None:
+                stepped = now + (now // 3_000_000_000 % 2) * 2_000_000_000
+                super().applied(who, version, applied, stepped)
+
+        return _with(sound, Wall)
+
+
+def _with(
+    sound: type[Member],
+    allocator: type[Allocator] = Allocator,
+    holder: type[ShareHolder] = ShareHolder,
+) -> type[Member]:
+    """The rules with other shares."""
+
+    class Other(sound):  # type: ignore[valid-type, misc]
+        allocator_class = allocator
+        share_holder_class = holder
+
+    return Other
+
+
 VARIANTS: dict[str, Variant] = {
     made.name: made
     for made in (
@@ -280,6 +401,13 @@
         _NotClosed(),
         _NoQuiet(),
         _LyingDisk(),
+        _LastGrant(),
+        _FreedAtTheAnswer(),
+        _SharesForgotten(),
+        _NoFloors(),
+        _OverAVersion(),
+        _PastItsLease(),
+        _ShareByWallClock(),
     )
 }
 SOUND = Variant()
--- a/pebblepass/trials/checkers.py
+++ b/pebblepass/trials/checkers.py
@@ -93,7 +93,35 @@
             ended.append(event)
 
 
-CHECKS: tuple[Check, ...] = (one_outcome, everywhere_or_nowhere, promises_kept, in_order)
+def within_the_quota(events: Sequence[Event]) -> Iterator[Broken]:
+    """At no time may all routers together admit more beyond their floors than the version in force has."""
+    whole: dict[int, float] = {}
+    held: dict[str, Event] = {}
+    for at, event in enumerate(events):
+        if event.what == "decided" and event.amount:
+            whole.setdefault(event.version, event.amount)
+        if event.what != "share":
+            continue
+        held[event.router] = event
+        if at + 1 < len(events) and events[at + 1].at == event.at and events[at + 1].what == "share":
+            continue  # what is seen at one time counts together
+        now = [each for each in held.values() if each.until >= event.at and each.amount > 0]
+        total = sum(each.amount for each in now)
+        least = min((whole.get(each.version, 0.0) for each in now), default=0.0)
+        if total > least * (1 + ROUNDING) + ROUNDING:
+            by = ", ".join(f"{each.router} {each.amount:.3g}" for each in now)
+            line = f"{total:.4g} a second beyond the floors, of {least:.4g}: {by}"
+            yield Broken("within the quota", line, tuple(now))
+
+
+ROUNDING = 1e-6
+CHECKS: tuple[Check, ...] = (
+    one_outcome,
+    everywhere_or_nowhere,
+    promises_kept,
+    in_order,
+    within_the_quota,
+)
 
 
 def check_all(events: Sequence[Event]) -> list[Broken]:
--- a/pebblepass/trials/history.py
+++ b/pebblepass/trials/history.py
@@ -14,7 +14,7 @@
     at: int
     router: str
     what: str
-    """admit, floor, decided, promised, accepted, proposed, verdict, started, fault, note."""
+    """admit, floor, decided, promised, accepted, proposed, verdict, started, fault, note, share."""
     version: int = 0
     change: str = ""
     told: str = ""
@@ -22,6 +22,10 @@
     ballot: tuple[int, str] | None = None
     disk: str = ""
     """The incarnation of the disk that promised."""
+    amount: float = 0.0
+    """Of a share: fetches a second that its router admits beyond the floor; of a version: all of these."""
+    until: int = 0
+    """Of a share: until when it admits so much, if nothing later is told; `at`: it was seen to, then."""
 
 
 def write_history(path: Path, events: Iterable[Event]) -> None:
--- a/pebblepass/trials/scenarios.py
+++ b/pebblepass/trials/scenarios.py
@@ -38,6 +38,55 @@
         "three routers, an empty disk, and kills at every step",
         Plan(3, 3, trips=0.03, empty_disks=1, changes=8, quick=True, cuts=4),
     ),
+    "shares": (
+        "five routers, three of them voters, split the quota by what they fetch; kills, pauses and cuts",
+        Plan(5, 3, 14.0, shares=0.9, changes=3, kills=4, pauses=3, cuts=4, losses=0.1, admissions_per_s=10.0),
+    ),
+    "shares-quick": (
+        "as shares; those that are killed are back at once",
+        Plan(
+            5, 3, 12.0, shares=0.9, changes=2, kills=6, cuts=5, losses=0.1, quick=True, admissions_per_s=10.0
+        ),
+    ),
+    "shares-deaf": (
+        "as shares; routers hear nothing for a while, and are heard",
+        Plan(
+            5,
+            3,
+            16.0,
+            shares=1.0,
+            changes=0,
+            kills=0,
+            cuts=0,
+            pauses=0,
+            deaf=16,
+            losses=0.02,
+            admissions_per_s=10.0,
+        ),
+    ),
+    "shares-lossy": (
+        "as shares, with a third of the messages lost",
+        Plan(
+            6, 3, 14.0, shares=1.0, changes=1, kills=1, cuts=2, pauses=2, losses=0.35, admissions_per_s=10.0
+        ),
+    ),
+    "shares-fierce": (
+        "as shares, with other voters, lost disks and kills at every step",
+        Plan(
+            5,
+            4,
+            12.0,
+            shares=0.8,
+            changes=6,
+            kills=4,
+            cuts=4,
+            pauses=4,
+            empty_disks=1,
+            member_changes=True,
+            trips=0.01,
+            admissions_per_s=10.0,
+        ),
+    ),
     "large": (
         "two hundred routers, seven of them voters, leases of 3 s",
         Plan(200, 7, 16.0, 3.0, changes=3, kills=10, pauses=4, admissions_per_s=2.0, quiet_s=6.0),
--- a/pebblepass/trials/schedule.py
+++ b/pebblepass/trials/schedule.py
@@ -30,6 +30,7 @@
     genesis,
 )
 from pebblepass.agreement.policy import Policy, StorePolicy
+from pebblepass.agreement.shares import Pool
 from pebblepass.durable.frames import DurableError, Head
 from pebblepass.durable.log import Log
 from pebblepass.trials.broken import Variant
@@ -37,6 +38,10 @@
 from pebblepass.trials.history import Event
 
 MS = 1_000_000
+QUOTA, FLOOR_SHARE = 100.0, 0.25  # of the one namespace, a second
+NAMESPACE = "acme"
+TURN_S, WANTED = 3.0, 3.0  # after which others want the most; fetches a second for a weight of 1
+LOOK = 20 * MS  # from one look at what all routers may admit to the next
 START = 10_000_000_000  # a time that no clock starts from by chance
 HEAD = Head("trial", 1, "fleet")
 
@@ -72,23 +77,46 @@
     admissions_per_s: float = 40.0
     quiet_s: float = 4.0
     """At the end: everything is mended, and has to come back."""
+    shares: float = 0.0
+    """The part of changes whose policy splits the quota by shares; 0: none does, nor the first version."""
+    deaf: int = 0
+    """Times that a router hears nothing for a while, and is heard."""
 
 
 class Admitter:
     """What a router admits under: the version and the time that it was told last."""
 
     def __init__(self) -> None:
-        self.version = self.until = 0
+        self.version = self.until = self.share_until = 0
+        self.share = self.even = 0.0
 
     def told(self, action: InForce) -> None:
         """A version, and until when."""
         self.version, self.until = action.value.version, action.until
+        self.share, self.share_until = dict(action.shares).get(NAMESPACE, 0.0), action.shares_until
+        shares = action.value.policy.store.shares
+        self.even = 0.0 if shares else shared(action.value) / len(action.value.fleet.members)
+
+    def beyond(self, now: int) -> tuple[int, float]:
+        """Under which version it admits how much beyond its floor."""
+        version = self.admits(now)
+        return version, 0.0 if not version else self.even or self.share_now(now)
+
+    def share_now(self, now: int) -> float:
+        """What it holds by grants."""
+        return self.share if now < self.share_until else 0.0
 
     def admits(self, now: int) -> int:
         """Under which version a request is admitted now; 0: under none, at the floor."""
         return self.version if now < self.until else 0
 
 
+def shared(value: m.Value) -> float:
+    """What a version has for all routers beyond their floors."""
+    rate = value.policy.store.rate_per_s
+    return (QUOTA if rate is None else min(QUOTA, rate)) - QUOTA * FLOOR_SHARE
+
+
 class Router:
     """One router of a schedule: a process that runs, is paused or is down, and its disk."""
 
@@ -137,6 +165,8 @@
             if self.name in world.genesis.fleet.voters
             else "",
             world.seed,
+            partial(world.pools, self.name),
+            self.wanted,
         )
         self.member = world.variant.member(Member)(setup, records, self.now())
         world.record(self, "started", disk=self.member.incarnation)
@@ -146,6 +176,10 @@
             self._log.begin([m.encode(self.member.summary())])
         self._carry_out(self.member.start(self.now()))
 
+    def wanted(self) -> dict[str, int]:
+        """The fetches that it has wanted so far, by the world's clock."""
+        return {NAMESPACE: int(self.world.wanted(self.name))}
+
     def stop(self, power: bool) -> None:
         """SIGKILL; with the power, what was not synced goes too."""
         if power:
@@ -224,7 +258,8 @@
 
     def _record_decided(self, value: m.Value) -> None:
         digest = f"{crc32c(m.encode(value)):08x}"
-        self.world.record(self, "decided", version=value.version, change=value.change, told=digest)
+        facts = {"amount": shared(value)} if self.world.plan.shares else {}
+        self.world.record(self, "decided", version=value.version, change=value.change, told=digest, **facts)
 
     def _record_vote(self, message: m.Message) -> None:
         body, disk = message.body, message.sender.incarnation
@@ -305,6 +340,9 @@
         self._number = 0
         names = [f"r{number}" for number in range(plan.routers)]
         self.genesis = genesis({name: name for name in names}, names[: plan.voters])
+        if plan.shares:
+            policy = Policy(StorePolicy(shares=True))
+            self.genesis = msgspec.structs.replace(self.genesis, policy=policy)
         self.refuses: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.losses = plan.losses
@@ -313,6 +351,30 @@
             name: Router(self, name, 1 + self.rng.uniform(-plan.skew, plan.skew)) for name in names
         }
 
+    def pools(self, name: str, policy: Policy, members: int) -> dict[str, Pool]:
+        """What there is to share; the floors are set aside for every member."""
+        if not policy.store.shares:
+            return {}
+        rate = policy.store.rate_per_s
+        quota = QUOTA if rate is None else min(QUOTA, rate)
+        floor = QUOTA * FLOOR_SHARE / self.plan.routers
+        return {NAMESPACE: Pool(quota - floor * members, floor)}
+
+    def wanted(self, name: str) -> float:
+        """A router's fetches so far: some want far more than others, and who does changes now and then."""
+        number, (turns, rest) = int(name[1:]), divmod((self.now - START) / 1e9, TURN_S)
+        weights = (1 + number * number, 1 + (self.plan.routers - number) ** 2)
+        whole = (weights[0] + weights[1]) * (turns // 2) + weights[0] * (turns % 2)
+        return float(WANTED * (whole * TURN_S + weights[int(turns % 2)] * rest))
+
+    def look(self) -> None:
+        """See what all that run may admit at this moment, all together."""
+        for router in self.routers.values():
+            if router.runs:
+                version, amount = router.admitter.beyond(router.now())
+                self.record(router, "share", version=version, amount=amount, until=self.now)
+        self.at(self.now + LOOK, self.look)
+
     def check(self, name: str) -> Callable[[Policy, Policy], str]:
         """What a router says of a policy: no, where the schedule has it refuse."""
         return lambda before, after: "unknown namespace" if name in self.refuses and before != after else ""
@@ -374,6 +436,12 @@
     return m.Proposal(f"c{number}", "trial", why, Policy(StorePolicy(rate_per_s=100.0 + number)))
 
 
+def shared_proposal(number: int, rng: random.Random, share: float) -> m.Proposal:
+    """A change of the store's rate, most of them with shares."""
+    store = StorePolicy(rate_per_s=rng.choice((60.0, 80.0, 100.0)), shares=rng.random() < share)
+    return m.Proposal(f"c{number}", "trial", f"trial {number}", Policy(store))
+
+
 def draw_faults(world: World, until: int) -> None:
     """Draw changes and faults up to a time."""
     plan, rng, routers = world.plan, world.rng, list(world.routers.values())
@@ -384,7 +452,9 @@
 
     for number in range(plan.changes):
         chosen, wanted = rng.choice(routers), proposal(number, rng)
-        world.at(when(), partial(chosen.propose, wanted))
+        if plan.shares:
+            wanted = shared_proposal(number, rng, plan.shares)
+        world.at(when() if number or not plan.shares else begin, partial(chosen.propose, wanted))
     if plan.member_changes:
         for number in range(2):
             names = list(world.genesis.fleet.voters)
@@ -404,6 +474,8 @@
         world.at(when(), partial(_pause, world, rng.choice(routers)))
     for _ in range(plan.cuts):
         world.at(when(), partial(_cut, world))
+    for _ in range(plan.deaf):
+        world.at(when(), partial(_deafen, world, rng.choice(routers)))
 
 
 def _kill(world: World, router: Router, disk: str) -> None:
@@ -432,6 +504,17 @@
     router.pause(world.now + length)
 
 
+def _deafen(world: World, router: Router) -> None:
+    links = {(name, router.name) for name in world.routers if name != router.name}
+    world.cut |= links
+    world.record(router, "fault", told=f"{router.name} hears nothing")
+
+    def mend() -> None:
+        world.cut -= links
+
+    world.at(world.now + int(world.rng.uniform(0.5, 2.0) * world.terms.lease), mend)
+
+
 def _cut(world: World) -> None:
     rng, names = world.rng, list(world.routers)
     side = set(rng.sample(names, rng.randint(1, len(names) - 1)))
@@ -468,6 +551,8 @@
     end = busy + int(plan.quiet_s * 1e9)
     draw_faults(world, busy)
     world.stop_admissions(end)
+    if plan.shares:
+        world.look()
     variant.disturb([router.disk for router in world.routers.values()])
     world.run_until(busy)
     world.losses = 0.0
@@ -486,4 +571,16 @@
             if router.member.acceptor.value is not None:
                 return f"{name} still holds {router.member.acceptor.value.change} open"
     lacking = sorted(name for name, version in held.items() if version != newest)
-    return f"{', '.join(lacking)} not under version {newest} at the end" if lacking else ""
+    if lacking:
+        return f"{', '.join(lacking)} not under version {newest} at the end"
+    lacking = sorted(name for name in held if not _has_its_share(world.routers[name]))
+    return f"{', '.join(lacking)} at the floor at the end, and wants more" if lacking else ""
+
+
+def _has_its_share(router: Router) -> bool:
+    """Whether it holds a share of every voter, where the policy has such."""
+    member = router.member
+    if member is None or not member.decided.policy.store.shares:
+        return True
+    holding = member.share_holder.granting(router.now())
+    return holding >= member.voters.keys() and router.admitter.beyond(router.now())[1] > 0
