Judge shares by schedules, by real processes and by seven programs broken in known ways

Nothing showed yet that the sum of what routers may admit stays within the quota over cuts, pauses, kills and changes of the version, nor that a checker would see it if it did not.

The checker `within the quota` reads histories only; five scenarios split quotas by shares; seven broken variants; a fleet of real processes with a cut and a kill, and one that is broken.

--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -2,6 +2,7 @@
 
     .venv/bin/python benchmarks/shares.py [--routers 930] [--quota 400] [--spread 1.2] [--demand 0.8]
         [--split NAME] [--dead 0] [--window S]
+    .venv/bin/python benchmarks/shares.py --cost
 
 The Suppressor is the program's, and so are the rules of shares (`pebblepass/agreement/shares.py`): three
 voters, leases of 6 s, each router asks each voter every third of that. The traffic is Poisson, its routers'
@@ -22,12 +23,14 @@
 import math
 import random
 import sys
+import time
 from collections import deque
 from heapq import heapify, heappop, heappush
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from pebblepass.agreement import messages as m
 from pebblepass.agreement.leases import Terms
 from pebblepass.agreement.shares import Allocator, Demand, Pool, ShareHolder, allocate
 from pebblepass.decisions.interface import NS_PER_S, PolicyHeld, Tenant
@@ -155,6 +158,53 @@
         }
 
 
+def cost(routers: int) -> None:
+    """Bytes of questions and answers, and what the rules take of a core, at a voter and at a router."""
+    questions = 1 / (TERMS.renewal / 1e9 * 0.9)  # a second, of a router to a voter
+    sender = m.Sender("sofia-r0123", "0123456789ab", "", 0, 7, 7, 6, 6, 7, True)
+    voter_says = m.Sender("sofia-c1", "0123456789ab", "sofia-c1.0123456789ab", 12, 7, 7, 6, 6, 7, True)
+    for names in (0, 1, 10):
+        rows = tuple((f"namespace{number:02d}", 12.345678) for number in range(names))
+        asked = len(m.encode(m.Message(sender, m.Renew(4711, 7, 4710 if names else 0, rows))))
+        granted = len(m.encode(m.Message(voter_says, m.Grant(4711, 7, sender.boot, rows))))
+        applied = len(m.encode(m.Message(sender, m.Applied(4711, 7)))) if names else 0
+        each = asked + granted + 8  # with the sizes of both frames
+        most = each + (applied + 4 if names else 0)  # where every grant takes much away
+        print(
+            f"{names:3d} namespaces: question {asked} bytes, grant {granted}, applied {applied}; "
+            f"a router {each * questions * VOTERS:.0f} bytes a second, "
+            f"{most * questions * VOTERS:.0f} at most"
+        )
+        if not names:
+            continue
+        voter = Allocator(TERMS, 0, restarted=False)
+        voter.begin(1, {name: Pool(300.0, 0.1) for name, _ in rows}, VOTERS)
+        rng = random.Random(1)
+        holders = [ShareHolder(TERMS) for _ in range(routers)]
+        demands = [Demand() for _ in range(routers)]
+        gap = int(1e9 / (routers * questions))
+        at_voter = at_router = 0.0
+        rounds = 4 * routers
+        for number in range(rounds):
+            now, router = number * gap, number % routers
+            begun = time.process_time()
+            counts = {name: int(now / 1e9 * rng.uniform(5, 6)) for name, _ in rows}
+            told = demands[router].rows(counts, now)
+            asking = time.process_time()
+            voter.asked((str(router), "b"), 1, holders[router].applied("v"), told, now)
+            share = voter.grant((str(router), "b"), number + 1, now)
+            granting = time.process_time()
+            holders[router].granted("v", number + 1, now, share)
+            holders[router].held(now)
+            at_router += time.process_time() - granting + asking - begun
+            at_voter += granting - asking
+        seconds = rounds * gap / 1e9
+        print(
+            f"    rules at {routers} routers: a voter {at_voter / seconds:.2%} of a core, "
+            f"a router {at_router / seconds / routers * VOTERS:.4%}"
+        )
+
+
 def main() -> None:
     """Play and print."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
@@ -166,7 +216,11 @@
     parser.add_argument("--dead", type=int, default=0, help="voters that die at the shift")
     parser.add_argument("--window", type=float, default=0.0, help="seconds; 0: the program's")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cost", action="store_true", help="bytes and CPU instead")
     chosen = parser.parse_args()
+    if chosen.cost:
+        cost(chosen.routers[0])
+        return
     print("split        routers  quota  spread  demand  before  first 10 s  after   most in a window  out")
     for quota in chosen.quota:
         for routers in chosen.routers:
--- a/pebblepass/agreement/commands.py
+++ b/pebblepass/agreement/commands.py
@@ -111,6 +111,12 @@
         return
     lease = f"in force for {told['lease_ms']} ms" if told["in_force"] else "not in force here: at the floor"
     click.echo(f"{told['router']}: version {told['version']}, {lease}")
+    shares = told.get("shares", {})
+    if shares.get("on"):
+        held = ", ".join(f"{name} {amount:.4g} a second" for name, amount in shares["per_s"].items())
+        click.echo(
+            f"beyond its floors: {held or 'nothing'}" + (f"; {shares['why']}" if shares["why"] else "")
+        )
     if told["problem"]:
         click.echo(f"it can't be used here: {told['problem']}")
     if told["open"]:
--- a/pebblepass/agreement/shares.py
+++ b/pebblepass/agreement/shares.py
@@ -46,13 +46,12 @@
 """Namespaces, and fetches a second."""
 
 NS_PER_S = 1_000_000_000
-SWEEPS = 8  # parts of the time between two questions after which the split is worked out anew
+SWEEPS = 4  # parts of the time between two questions after which the split is worked out anew
 RESERVE = 1 / 16  # of a part that stays at hand, for a router whose demand has just risen
 SWING = 1 / 16  # of what it held: a router that loses more tells so at once
 SPENT = 1 / 8  # of a lease: a share that ends so soon is let go of before the others are lost with it
 QUICK_S, SLOW_S = 2.0, 8.0  # memories of the demand: one to see that it has moved, one less led by chance
 MOVED = 2.0  # deviations of chance by which the two differ when it has
-HALVINGS = 14  # steps in which the split is found
 
 
 class Pool(Struct, frozen=True):
@@ -161,8 +160,9 @@
         """Let go of what has run out, and work out what each router should have."""
         self._swept_at = now
         for who, client in list(self._clients.items()):
-            client.grants = [each for each in client.grants if each[1] > now]
-            self._count(client)
+            if client.grants and client.grants[0][1] <= now:
+                client.grants = [each for each in client.grants if each[1] > now]
+                self._count(client)
             if not client.grants and now - client.asked_at > self._terms.granted:
                 del self._clients[who]
         for name, part in self._parts.items():
@@ -185,14 +185,13 @@
         level = _water_level(sorted(needs.values()), whole)
         return {who: min(need, level) for who, need in needs.items()}
     pairs = [(wanted - floor, math.sqrt(wanted)) for wanted in demand.values() if wanted > 0]
-    least, most = 0.0, (whole + floor * len(pairs)) / max(math.fsum(root for _, root in pairs), 1e-9)
-    for _ in range(HALVINGS):
-        middle = (least + most) / 2
-        if math.fsum(max(need + middle * root, 0.0) for need, root in pairs) > whole:
-            most = middle
-        else:
-            least = middle
-    return {who: max(wanted - floor + least * math.sqrt(wanted), 0.0) for who, wanted in demand.items()}
+    height, count = 0.0, -1
+    while pairs and len(pairs) != count:
+        # Each round leaves out those whose floor is enough at this height, which lowers it for the others.
+        count = len(pairs)
+        height = (whole - math.fsum(need for need, _ in pairs)) / math.fsum(root for _, root in pairs)
+        pairs = [(need, root) for need, root in pairs if need + height * root > 0]
+    return {who: max(wanted - floor + height * math.sqrt(wanted), 0.0) for who, wanted in demand.items()}
 
 
 def _water_level(needs: list[float], whole: float) -> float:
@@ -295,7 +294,7 @@
         for name, count in counts.items():
             if self._at is not None:
                 rate = self._rates.setdefault(name, _Rate())
-                rate.learn(count - self._counts.get(name, 0), (now - self._at) / NS_PER_S)
+                rate.learn(max(count - self._counts.get(name, 0), 0), (now - self._at) / NS_PER_S)
         self._counts, self._at = dict(counts), now
         return self.told()
 
--- a/pebblepass/trials/broken.py
+++ b/pebblepass/trials/broken.py
@@ -361,11 +361,11 @@
 
     def member(self, sound: type[Member]) -> type[Member]:
         class Wall(Allocator):
-            def _sweep(self, now: int) -> None:
-                super()._sweep(now + (now // 3_000_000_000 % 2) * 2_000_000_000)
+            def grant(self, who: Any, seq: int, now: int) -> Rows:
+                return super().grant(who, seq, now + (now // 1_000_000_000 % 2) * 2_000_000_000)
 
             def applied(self, who: Any, version: int, applied: int, now: int) -> None:
-                stepped = now + (now // 3_000_000_000 % 2) * 2_000_000_000
+                stepped = now + (now // 1_000_000_000 % 2) * 2_000_000_000
                 super().applied(who, version, applied, stepped)
 
         return _with(sound, Wall)
--- a/pebblepass/trials/router.py
+++ b/pebblepass/trials/router.py
@@ -104,6 +104,22 @@
                 return
             event = PolicyChanged(event.policy, 1 << 62)
         super().tell(event)
+        if isinstance(event, PolicyChanged):
+            self._record_share(event)
+
+    def _record_share(self, event: PolicyChanged) -> None:
+        """Write down how much it may admit beyond its floors, and until when."""
+        policy, until = event.policy, event.until
+        if policy.shares:
+            until = min(until, event.shares_until)
+        beyond = 0.0
+        for guard in self._router._guards.values():
+            if guard._has_quota:
+                beyond += guard.cap - guard._stated[1] * policy.floor_share
+        at = self.now()
+        version = self._router.version()
+        told = max(beyond, 0.0) if until > at else 0.0
+        record(Event(at, RecordingHost.name, "share", version, amount=told, until=machine(until)))
 
     def _carry_out(self, action: Any) -> None:
         if isinstance(action, SendRequest) and action.server in self._origins:
@@ -143,10 +159,16 @@
                 self._seen = action.value.version
                 value = action.value
                 digest = f"{crc32c(m.encode(value)):08x}"
-                at = self._now()
-                record(Event(at, self.member.name, "decided", value.version, value.change, digest))
+                now, name = self._now(), self.member.name
+                whole = self._beyond_the_floors(value)
+                record(Event(now, name, "decided", value.version, value.change, digest, amount=whole))
         super()._carry_out(actions)
 
+    def _beyond_the_floors(self, value: m.Value) -> float:
+        policy = replace(value.policy, store=replace(value.policy.store, shares=True))
+        pools = self.member.setup.pools(policy, len(value.fleet.members))
+        return sum(pool.shared for pool in pools.values())
+
     def _record_vote(self, message: m.Message) -> None:
         body, disk, name = message.body, message.sender.incarnation, self.member.name
         if isinstance(body, m.Promise):
--- a/tests/trials/site.py
+++ b/tests/trials/site.py
@@ -59,6 +59,8 @@
         """Variables of the processes that are started from now on."""
         self.held: tuple[int, ...] = ()
         """Descriptors that they inherit."""
+        self.pause_s = 0.01
+        """From a client's answer to its next read."""
         self.elders: list[subprocess.Popen[bytes]] = []
         """Processes that another one of their name has been started beside."""
         self._stop = threading.Event()
@@ -148,9 +150,9 @@
                 assert time.monotonic() < end, f"{name} never held {version}: {self.logs[name].read_text()}"
                 time.sleep(0.005)
 
-    def load(self) -> None:
-        """Clients at every router that read what no cache has, until the end."""
-        for name in self.names:
+    def load(self, *names: str) -> None:
+        """A client more at these routers, or all, that reads what no cache has, until the end."""
+        for name in names or self.names:
             thread = threading.Thread(target=self._read, args=(name,), daemon=True)
             thread.start()
             self._clients.append(thread)
@@ -164,7 +166,7 @@
                     while not self._stop.is_set():
                         number += 1
                         client.ask(get(f"{name}.{number}", f"{name}.{number}"))
-                        self._stop.wait(0.01)
+                        self._stop.wait(self.pause_s)
                 finally:
                     client.close()
             self._stop.wait(0.02)
@@ -190,9 +192,12 @@
 
 
 @contextlib.contextmanager
-def fleet(folder: Path, routers: int = 3, voters: int = 3, variant: str = "") -> Iterator[Site]:
+def fleet(
+    folder: Path, routers: int = 3, voters: int = 3, variant: str = "", pause_s: float = 0.01
+) -> Iterator[Site]:
     """A fleet that has formed, under load; at the end every check must hold, unless a variant is played."""
     made = Site(folder, routers, voters, variant)
+    made.pause_s = pause_s
     try:
         for name in made.names:
             made.start(name)
--- a/tests/trials/test_processes.py
+++ b/tests/trials/test_processes.py
@@ -9,13 +9,15 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from prometheus_client.openmetrics.parser import text_string_to_metric_families
 
 from pebblepass.standins.ports import take_port
 from pebblepass.trials.checkers import check_all
-from tests.trials.site import LEASE_MS, fleet
+from tests.trials.site import LEASE_MS, Site, fleet
 
 
 def rate(number: int) -> str:
@@ -288,6 +290,63 @@
             site.wait(3, "r0", "r2")
 
 
+SHARES = 'who = "ana"\nwhy = "uneven traffic"\n[store]\nshares = true\n'
+
+
+def share(site: Site, name: str) -> dict[str, Any]:
+    """What a router tells of its shares."""
+    told = site.ask(name, "GET", "status")
+    found: dict[str, Any] = told["shares"] if told is not None else {}
+    return found
+
+
+def wait_for(site: Site, name: str, right: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+    """Wait until what a router tells of its shares is so."""
+    end = time.monotonic() + 30
+    while not right(told := share(site, name)):
+        assert time.monotonic() < end, told
+        time.sleep(0.02)
+    return told
+
+
+def test_shares_follow_the_traffic_over_a_cut_and_a_kill_and_never_exceed_the_quota(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=4, pause_s=0.1) as site:
+        assert share(site, "r0") == {"on": False}
+        assert site.propose("r2", "c1", SHARES)["state"] == "in force"
+        for _ in range(6):
+            site.load("r0")
+        # Beyond the floors there are 150 a second; an even split would be 37.5.
+        wait_for(site, "r0", lambda told: told["per_s"].get("acme", 0) > 60)
+        assert len(share(site, "r0")["hands_out"]["namespaces"]) == 1
+        site.relays.cut(*((a, b) for a in site.names for b in site.names if "r3" in (a, b) and a != b))
+        wait_for(site, "r3", lambda told: told["why"] == "no lease on the version decided: at the floor")
+        before = wait_for(site, "r0", lambda told: told["per_s"].get("acme", 0) > 60)
+        site.signal("r1", signal.SIGKILL)
+        told = wait_for(site, "r0", lambda told: "r1" not in told["of"] or not told["of"]["r1"]["lease_ms"])
+        assert told["why"] == "no share of r1: down, cut off, or started lately"
+        assert told["per_s"]["acme"] < before["per_s"]["acme"]
+        site.relays.mend()
+        site.start("r1")
+        for name in site.names:
+            wait_for(site, name, lambda told: bool(told.get("per_s")) and not told["why"])
+        events = [event for event in site.history() if event.what == "share" and event.version == 2]
+        assert {event.router for event in events if event.amount} == set(site.names)
+        # Off again: a version like any other, and the even split is back.
+        assert site.propose("r0", "c2", rate(1))["state"] == "in force"
+        assert share(site, "r0") == {"on": False}
+    assert 'fleet: {"event":"shares","version":2' in (tmp_path / "r0" / "log").read_text()
+
+
+def test_processes_whose_shares_are_broken_are_caught_by_their_history(tmp_path: Path) -> None:
+    with fleet(tmp_path, routers=4, variant="floors-not-set-aside") as site:
+        assert site.propose("r0", "c1", SHARES)["state"] == "in force"
+        end = time.monotonic() + 40
+        while not check_all(site.history()):
+            assert time.monotonic() < end
+            time.sleep(0.1)
+    assert [found.check for found in check_all(site.history())] == ["within the quota"]
+
+
 def test_clocks_that_run_fast_and_slow_end_no_lease_too_late(tmp_path: Path) -> None:
     with fleet(tmp_path, routers=4) as site:
         for name, clock in (("r1", "1.05"), ("r2", "0.95"), ("r3", "0.95")):
--- a/tests/trials/test_schedules.py
+++ b/tests/trials/test_schedules.py
@@ -8,7 +8,14 @@
 import pytest
 
 from pebblepass.trials.broken import SOUND, VARIANTS
-from pebblepass.trials.checkers import check_all, everywhere_or_nowhere, in_order, one_outcome, promises_kept
+from pebblepass.trials.checkers import (
+    check_all,
+    everywhere_or_nowhere,
+    in_order,
+    one_outcome,
+    promises_kept,
+    within_the_quota,
+)
 from pebblepass.trials.history import Event, read_history, write_history
 from pebblepass.trials.scenarios import SCENARIOS
 from pebblepass.trials.schedule import play
@@ -28,6 +35,13 @@
     "granted-before-closed": ("policy", 30, "everywhere or nowhere"),
     "grants-forgotten-at-restart": ("steps", 60, "everywhere or nowhere"),
     "disk-that-lies": ("fierce", 60, "promises kept"),
+    "share-counted-by-its-last-grant": ("shares", 30, "within the quota"),
+    "share-freed-at-the-answer": ("shares-deaf", 60, "within the quota"),
+    "shares-forgotten-at-restart": ("shares-quick", 60, "within the quota"),
+    "floors-not-set-aside": ("shares", 20, "within the quota"),
+    "share-kept-over-a-version": ("shares-quick", 40, "within the quota"),
+    "share-kept-past-its-lease": ("shares", 40, "within the quota"),
+    "share-by-wall-clock": ("shares-deaf", 60, "within the quota"),
 }
 
 
@@ -87,6 +101,16 @@
     assert list(promises_kept([vote, event(2, "r0", "accepted", version=2, ballot=(3, "r2"), disk="d")]))
     took = event(1, "r0", "accepted", version=2, ballot=(4, "r1"), disk="d", change="a")
     assert list(promises_kept([took, event(2, "r0", "promised", version=2, ballot=(5, "r2"), disk="d")]))
+    whole = event(1, "r0", "decided", version=2, change="a", told="x", amount=30.0)
+    shares = [event(2, "r0", "share", version=2, amount=20.0, until=5)]
+    assert not list(
+        within_the_quota([whole, *shares, event(6, "r1", "share", version=2, amount=20.0, until=9)])
+    )
+    less = event(3, "r0", "share", version=2, amount=9.0, until=9)
+    assert not list(
+        within_the_quota([whole, *shares, less, event(4, "r1", "share", version=2, amount=20.0, until=9)])
+    )
+    assert list(within_the_quota([whole, *shares, event(4, "r1", "share", version=2, amount=20.0, until=9)]))
     ended = event(2, "r0", "verdict", version=5, change="a", told="in force")
     after = [
         event(3, "r1", "proposed", change="b"),
