Let a fleet's part run beside anything that holds a policy

Need: hollow routers are to run the control part as the daemon wires it, without the request path. Change: FleetPart asks of its host and of the configuration only what it uses, as two protocols.

--- a/pebblepass/daemon/fleet.py
+++ b/pebblepass/daemon/fleet.py
@@ -7,7 +7,7 @@
 import os
 from collections import Counter
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -17,9 +17,8 @@
 from pebblepass.agreement.policy import Ground, PolicyError, held, read_policy
 from pebblepass.agreement.service import AgreementService, Told, open_log
 from pebblepass.control.shell import Page
-from pebblepass.daemon.config import Config, ConfigError
-from pebblepass.daemon.router import RouterHost
-from pebblepass.decisions import PolicyChanged
+from pebblepass.daemon.config import ConfigError
+from pebblepass.decisions import PolicyChanged, Settings
 from pebblepass.durable.disk import Folder
 from pebblepass.durable.frames import DurableError
 from pebblepass.operator import FleetSection
@@ -31,14 +30,40 @@
 log = logging.getLogger("pebblepass")
 
 
+class PolicyHost(Protocol):
+    """What carries a router's decisions, as far as its part in a fleet is concerned."""
+
+    @property
+    def settings(self) -> Settings:
+        """The platform's settings."""
+
+    def now(self) -> int:
+        """The time in nanoseconds."""
+
+    def tell(self, event: PolicyChanged) -> None:
+        """Take the policy that may be admitted under, and until when."""
+
+
+class Identity(Protocol):
+    """What a router's configuration says of itself."""
+
+    @property
+    def name(self) -> str:
+        """Its name in the fleet."""
+
+    @property
+    def seed(self) -> int:
+        """Of what it draws."""
+
+
 class FleetPart:
     """What joins a running router to its fleet."""
 
-    service_class = AgreementService
+    service_class: type[AgreementService] = AgreementService
     """A trial of a broken program puts another here."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, host: RouterHost, config: Config, section: FleetSection
+        self, loop: asyncio.AbstractEventLoop, host: PolicyHost, config: Identity, section: FleetSection
     ) -> None:
         """Open what lasts; raises ConfigError in one plain line."""
         self._loop, self._host, self._section = loop, host, section
