Run hollow routers before real control machines, and write what they cost

Need: what a fleet costs at sizes that no rehearsal reaches is to be measured, not guessed. Change: the room pebblepass/scale: plan, a process of hollow routers, the run, figures; pebblepass scale run.

--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -23,7 +23,7 @@
     """Loads a subsystem's commands when they are called: the others need none of what it does."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "figures", "policy", "trial"])
+        return sorted([*super().list_commands(ctx), "figures", "policy", "scale", "trial"])
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name == "figures":
@@ -34,6 +34,10 @@
             from pebblepass.agreement.commands import policy
 
             return policy
+        if cmd_name == "scale":
+            from pebblepass.scale.commands import scale
+
+            return scale
         if cmd_name == "trial":
             from pebblepass.trials.commands import trial
 
--- /dev/null
+++ b/pebblepass/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of hollow routers on one machine, and the slopes fitted to what they cost."""
