Test runs of hollow routers from end to end

Need: a run is to end by what happens, leave no process, and refuse what would take more than it may. Change: tests of the plan, the figures, the relay's delay, a fleet of 6 hollow and 2 full routers, Ctrl-C, SIGKILL and the watch on the memory; faults by the long marker. The phase of joining knows no full routers yet: it was counted on them.

--- a/pebblepass/scale/figures.py
+++ b/pebblepass/scale/figures.py
@@ -65,8 +65,8 @@
         "cores": cpu / seconds / plan.hollow,
         "memory_mb": memory / plan.hollow,
     }
-    if plan.full:
-        names = plan.full_names()
+    names = plan.full_names()
+    if plan.full and all(name in before.cpu for name in names):  # they come after the hollow ones have joined
         lone = [f"lone{number}" for number in range(plan.full)]
         own = sum(_spent(before, after, name) for name in names)
         without = sum(_spent(before, after, name) for name in lone)
--- /dev/null
+++ b/tests/scale/test_run.py
@@ -0,0 +1,123 @@
+"""Small fleets of hollow routers from end to end; they end by what happens, and leave no process."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from pebblepass.scale.plan import Plan, PlanError
+from pebblepass.scale.run import play
+from tests.sockets import PATIENCE_S, eventually
+
+COMMAND = [sys.executable, "-m", "pebblepass.cli", "scale", "run"]
+BRIEF = ["--lease-ms", "600", "--window", "2", "--patience", "60"]
+
+
+def processes(folder: Path) -> list[str]:
+    """The processes that were started for a run whose files are in this folder."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        try:
+            if f"TMPDIR={folder}".encode() in path.read_bytes().split(b"\0"):
+                found.append(path.parent.name)
+        except OSError:
+            continue
+    return found
+
+
+def begin(folder: Path, *words: str) -> subprocess.Popen[str]:
+    """Begin a run whose processes are known by their variable."""
+    environ = {**os.environ, "TMPDIR": str(folder)}
+    words = (*COMMAND, "--out", str(folder / "out"), *BRIEF, *words)
+    return subprocess.Popen(words, env=environ, stderr=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+
+
+def figures(folder: Path) -> dict[str, Any]:
+    return msgspec.json.decode((folder / "out" / "figures.json").read_bytes(), type=dict[str, Any])
+
+
+@pytest.fixture(scope="module")
+def made(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Six hollow routers and two full ones, idle and with changes."""
+    folder = tmp_path_factory.mktemp("run")
+    run = begin(folder, "--routers", "8", "--full", "2", "--phase", "idle", "--phase", "change")
+    _, said = run.communicate(timeout=120)
+    assert run.returncode == 0, said
+    return folder
+
+
+def test_a_small_fleet_is_measured_whole_and_leaves_no_process(made: Path) -> None:
+    told = figures(made)
+    assert list(told["phases"]) == ["join", "idle", "change"]
+    assert told["phases"]["idle"]["holding"] == 6
+    assert told["phases"]["idle"]["router"]["messages_per_s"] > 0
+    assert told["phases"]["change"]["changes"] == 3
+    assert 0 < told["phases"]["change"]["p50_s"] <= told["phases"]["change"]["max_s"]
+    assert told["phases"]["idle"]["voter"]["connections"] >= 8
+    assert processes(made) == []
+
+
+def test_hollow_and_full_routers_send_the_same(made: Path) -> None:
+    idle = figures(made)["phases"]["idle"]
+    hollow, full = idle["router"], idle["full"]
+    # Each message has the size of the other kind's, and each question its answer; how many is by their draws.
+    size = [each["bytes_per_s"] / each["messages_per_s"] for each in (hollow, full)]
+    assert size[0] == pytest.approx(size[1], rel=0.01)
+    assert hollow["sent_per_s"] == pytest.approx(full["sent_per_s"], rel=0.25)
+    assert hollow["received_per_s"] == pytest.approx(full["received_per_s"], rel=0.25)
+
+
+def test_an_interrupted_run_leaves_no_process(tmp_path: Path) -> None:
+    run = begin(tmp_path, "--routers", "3", "--window", "600", "--full", "1")
+    assert run.stderr is not None
+    while "idle" not in (line := run.stderr.readline()):
+        assert line, "it never came to be idle"
+    assert len(processes(tmp_path)) == 8  # three voters, hollow, empty, full, lone, and the run itself
+    run.send_signal(signal.SIGINT)
+    _, said = run.communicate(timeout=PATIENCE_S)
+    assert run.returncode == 130
+    assert said == "pebblepass: interrupted\n"
+    assert processes(tmp_path) == []
+    assert "join" in figures(tmp_path)["phases"]  # what was measured stands
+
+
+def test_a_run_that_was_killed_leaves_no_process(tmp_path: Path) -> None:
+    run = begin(tmp_path, "--routers", "3", "--window", "600", "--full", "1")
+    assert run.stderr is not None
+    while "idle" not in (line := run.stderr.readline()):
+        assert line, "it never came to be idle"
+    run.kill()
+    run.wait(PATIENCE_S)
+    eventually(lambda: processes(tmp_path) == [], "the end of all")
+
+
+def test_a_run_that_takes_more_than_it_may_is_ended(tmp_path: Path) -> None:
+    plan = Plan(3, window_s=600, lease_ms=600, memory_mb=40)
+    begun = time.monotonic()
+    with pytest.raises(PlanError, match=r"^memory: \d+ MB in \w+, and 40 may be taken$"):
+        play(plan, tmp_path, lambda _: None)
+    assert time.monotonic() - begun < 60
+
+
+@pytest.mark.long
+def test_every_fault_is_played_and_all_come_back(tmp_path: Path) -> None:
+    faults = ("voter", "cut", "zone", "some", "all")
+    words = [word for fault in faults for word in ("--phase", fault)]
+    run = begin(tmp_path, "--routers", "16", "--delay-ms", "5", *words)
+    _, said = run.communicate(timeout=240)
+    assert run.returncode == 0, said
+    told = figures(tmp_path)["phases"]
+    assert list(told) == ["join", *faults]
+    assert told["voter"]["holding_without_it"] == 16
+    assert (told["cut"]["inside"], told["cut"]["inside_holding"]) == (4, 0)
+    assert told["cut"]["outside_holding"] == told["cut"]["outside"] == 12
+    assert (told["zone"]["inside"], told["zone"]["inside_holding"]) == (2, 0)
+    assert processes(tmp_path) == []
