Count discovery's calls from the membership client of many routers

Change: a phase in which each hollow router follows a list of 120 servers from the stand-in registry by the real client: calls, a change told to all, an outage of 12 s with a change in it.

--- a/pebblepass/scale/fit.py
+++ b/pebblepass/scale/fit.py
@@ -127,6 +127,34 @@
     Quantity(
         "join: all routers", ("phases", "join", "all_joined_s"), "s", 2, "a value to each, from each voter"
     ),
+    Quantity(
+        "discovery: calls a router",
+        ("phases", "discovery", "calls_per_router_s"),
+        "1/s",
+        1,
+        "a watch that ends after 2 s, and the next one",
+    ),
+    Quantity(
+        "discovery: a change at all",
+        ("phases", "discovery", "change_s"),
+        "s",
+        1,
+        "an answer to each watch",
+    ),
+    Quantity(
+        "discovery: after an outage",
+        ("phases", "discovery", "after_outage_s"),
+        "s",
+        1,
+        "a connection and an answer to each",
+    ),
+    Quantity(
+        "discovery: most calls a second after it",
+        ("phases", "discovery", "after_outage", "most_a_second"),
+        "1/s",
+        1,
+        "each tries again ten times a second",
+    ),
     Quantity(
         "restart of some: all of them",
         ("phases", "some", "all_joined_s"),
--- a/pebblepass/scale/hollow.py
+++ b/pebblepass/scale/hollow.py
@@ -13,6 +13,7 @@
 import os
 import resource
 import sys
+import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -30,7 +31,9 @@
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.decisions import PolicyChanged, Settings
 from pebblepass.decisions.settings import read_settings
+from pebblepass.membership.registry import Clock, Discovery, Listing
 from pebblepass.operator import FleetSection
+from pebblepass.wire.address import Address, parse_address
 
 FRAME = 4  # bytes before each message on a link
 
@@ -64,11 +67,13 @@
     """A line that it is sent."""
 
     do: str
-    """`start`, `restart`, `propose`, `figures`."""
+    """`start`, `restart`, `propose`, `follow`, `figures`."""
     names: tuple[str, ...] = ()
     """Of the routers that restart."""
     change: str = ""
     rate: float = 0.0
+    discovery: str = ""
+    """HOST:PORT, for `follow`."""
 
 
 class Report(Struct, omit_defaults=True):
@@ -157,6 +162,7 @@
         self._settings = read_settings(specification.settings)
         self._places = {place.name: place for place in specification.places}
         self._parts: dict[str, FleetPart] = {}
+        self._lists: list[Discovery] = []
         self._proposals: set[asyncio.Task[None]] = set()
 
     async def start(self, name: str) -> None:
@@ -192,6 +198,9 @@
                 task = self._loop.create_task(self._propose(order))
                 self._proposals.add(task)
                 task.add_done_callback(self._proposals.discard)
+            case "follow":
+                for name in self._parts:
+                    self._follow(name, parse_address("discovery", order.discovery))
             case "figures":
                 self._tell(Report("figures", self._loop.time_ns(), figures=self._figures()))
             case _:
@@ -204,6 +213,17 @@
         verdict = await part.service.propose(m.Proposal(order.change, "scale", "a measured change", policy))
         self._tell(Report("verdict", self._loop.time_ns(), part.name, verdict.version, verdict.state))
 
+    def _follow(self, name: str, address: Address) -> None:
+        """The daemon's own client of discovery, where lists are pushed."""
+
+        def take(listing: Listing) -> None:
+            self._tell(Report("listed", self._loop.time_ns(), name, listing.generation))
+
+        clock = Clock(self._loop.time_ns(), time.time_ns())
+        followed = Discovery(address, False, clock, take, lambda: None)
+        self._lists.append(followed)
+        followed.start()
+
     def _figures(self) -> dict[str, Any]:
         now = self._loop.time_ns()
         told: dict[str, Any] = {
@@ -221,6 +241,8 @@
 
     def end(self) -> None:
         """End all routers."""
+        for followed in self._lists:
+            followed.close()
         for part in self._parts.values():
             part.let_go()
 
--- a/pebblepass/scale/plan.py
+++ b/pebblepass/scale/plan.py
@@ -5,6 +5,7 @@
 | join | control machines start, then all routers | all hold a lease |
 | idle | nothing | the window is over |
 | change | changes of the policy, one after another | the last is in force everywhere |
+| discovery | all follow the list of servers; a change; an outage with a change in it | all have the last |
 | voter | a control machine is killed, and started after two leases | it holds its lease |
 | cut | a region hears nobody for two leases | all hold a lease again |
 | zone | likewise a zone, half a region | likewise |
@@ -20,7 +21,7 @@
 from msgspec import Struct
 
 FAULTS = ("voter", "cut", "zone", "some", "all")
-PHASES = ("idle", "change", *FAULTS)
+PHASES = ("idle", "change", "discovery", *FAULTS)
 CUTS = ("cut", "zone")
 ZONES = 2  # in a region
 PER_PROCESS = 120  # hollow routers
@@ -30,6 +31,8 @@
 PROCESS_MB, ROUTER_MB = 45.0, 0.12  # of a process with none, and of a router for itself
 MEMBER_MB, VERSIONS = 0.00018, 8  # what a member costs a router in each version that it keeps, and how many
 OWN_DESCRIPTORS = 64
+SERVERS = 120  # in the list
+OUTAGE_S = 12.0  # of discovery
 
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
@@ -127,6 +130,22 @@
         count = 100 if self.routers >= 1000 or len(names) >= 900 else max(len(names) // 10, 1)
         return sorted(random.Random(f"{self.seed} some").sample(names, count))
 
+    def listed(self) -> list[dict[str, Any]]:
+        """The servers that discovery tells of; nothing is sent to them."""
+        return [
+            {
+                "instanceId": f"server-{number:03}",
+                "hostPort": f"10.0.{number}.1:6379",
+                "zone": self.zones()[number % len(self.zones())],
+                "machineType": "std",
+                "cell": number % 12,
+                "lifecycle": "up",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+            for number in range(SERVERS)
+        ]
+
     def victim(self) -> str:
         """The control machine that dies."""
         return random.Random(f"{self.seed} voter").choice(self.voter_names())
@@ -145,10 +164,12 @@
 
     def descriptors(self) -> int:
         """The most that one process needs."""
-        hollow = max(len(names) for names in self.spread()) * (1 + self.voters)
+        lists = "discovery" in self.phases
+        hollow = max(len(names) for names in self.spread()) * (1 + self.voters + lists)
         relay = 2 * self.routers * self.voters + 2 * ZONES * self.regions * self.voters
         voter = self.routers + 2 * self.voters
-        return max(hollow, voter, relay if self.relayed else 0) + OWN_DESCRIPTORS
+        own = (relay if self.relayed else 0) + (self.hollow if lists else 0)
+        return max(hollow, voter, own) + OWN_DESCRIPTORS
 
 
 def checked(plan: Plan, descriptors: int) -> Plan:
--- a/pebblepass/scale/run.py
+++ b/pebblepass/scale/run.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -18,7 +19,8 @@
 
 from pebblepass.scale.figures import Look, by_role, of_changes
 from pebblepass.scale.hollow import Order, Place, Report, Specification
-from pebblepass.scale.plan import SETTINGS, Plan, PlanError
+from pebblepass.scale.plan import OUTAGE_S, SETTINGS, Plan, PlanError
+from pebblepass.standins.listening import Line
 from pebblepass.standins.ports import take_port
 from pebblepass.standins.registry import RegistryAgent
 from pebblepass.standins.witness import Nobody
@@ -55,6 +57,29 @@
         return 0.0
 
 
+class CountingAgent(RegistryAgent):
+    """Discovery, with a count of its calls: when each came, and whether it asks for the whole list."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.calls: list[tuple[float, bool]] = []
+
+    def asked(self, target: str, line: Line) -> None:
+        """Take a request."""
+        self.calls.append((time.monotonic(), "index=" not in target))
+        super().asked(target, line)
+
+    def since(self, at: float) -> dict[str, float]:
+        """The calls since a time: how many, whole ones, and the most in a second."""
+        later = [(when, whole) for when, whole in self.calls if when >= at]
+        seconds = Counter(int(when - at) for when, _ in later)
+        return {
+            "calls": len(later),
+            "whole": sum(whole for _, whole in later),
+            "most_a_second": max(seconds.values(), default=0),
+        }
+
+
 class Child:
     """A process of the run."""
 
@@ -83,6 +108,7 @@
         self._children: dict[str, Child] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._held: dict[str, tuple[int, int]] = {}  # router: the version that it took last, and when
+        self._listed: dict[str, tuple[int, int]] = {}  # likewise, of the list of servers
         self._news = asyncio.Event()
         self._ready: set[str] = set()
         self._verdicts: list[Report] = []
@@ -91,6 +117,7 @@
         self._main: asyncio.Task[Any] | None = None
         self._relays: Relays | None = None
         self._agent: RegistryAgent | None = None
+        self._lists: CountingAgent | None = None
         self._peak = 0.0
         self._where = "start"
         self._version = 0
@@ -203,6 +230,8 @@
             match report.what:
                 case "held":
                     self._held[report.name] = (report.version, report.at)
+                case "listed":
+                    self._listed[report.name] = (report.version, report.at)
                 case "ready":
                     self._ready.add(child.name)
                 case "proposed":
@@ -402,6 +431,45 @@
         value = max(each["value_bytes"] for each in after.told.values())
         return {**of_changes(plan, before, after, took, idle), "value_bytes": value}
 
+    async def _all_listed(self, generation: int, since: int) -> float:
+        """Wait until all have a list; returns the seconds that it took."""
+        names = self._plan.hollow_names()
+
+        def has(name: str) -> bool:
+            told, at = self._listed.get(name, (0, 0))
+            return told >= generation and at >= since
+
+        await self._until(lambda: all(has(name) for name in names), f"list {generation} at all")
+        return (max(self._listed[name][1] for name in names) - since) / 1e9
+
+    async def _discovery(self) -> dict[str, Any]:
+        plan, entries = self._plan, self._plan.listed()
+        agent = self._lists = CountingAgent(asyncio.get_running_loop(), "scale", entries, Nobody())
+        await agent.start()
+        begun = time.monotonic_ns()
+        for number in range(plan.hollow_processes):
+            order = Order("follow", discovery="{}:{}".format(*agent.address))
+            await self._children[f"hollow{number}"].order(order)
+        told: dict[str, Any] = {"servers": len(entries), "list_bytes": len(encode(agent.listing()))}
+        told["all_listed_s"] = await self._all_listed(1, begun)
+        told["start"] = agent.since(begun / 1e9)
+        quiet, quiet_cpu = time.monotonic(), time.process_time()
+        await asyncio.sleep(plan.window_s)
+        calls = agent.since(quiet)["calls"]
+        told["calls_per_router_s"] = calls / plan.hollow / (time.monotonic() - quiet)
+        told["cpu_per_call_s"] = (time.process_time() - quiet_cpu) / max(calls, 1)
+        begun = time.monotonic_ns()
+        agent.change({**entries[0], "lifecycle": "draining"})
+        told["change_s"] = await self._all_listed(agent.generation, begun)
+        agent.set_down(True)
+        await asyncio.sleep(OUTAGE_S)
+        agent.change({**entries[1], "lifecycle": "draining"})
+        begun = time.monotonic_ns()
+        agent.set_down(False)
+        told["after_outage_s"] = await self._all_listed(agent.generation, begun)
+        told["after_outage"] = agent.since(begun / 1e9)
+        return told
+
     async def _kill(self, name: str) -> None:
         child = self._children[name]
         child.wanted = False
@@ -508,8 +576,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._relays is not None:
             self._relays.close()
-        if self._agent is not None:
-            self._agent.close()
+        for agent in (self._agent, self._lists):
+            if agent is not None:
+                agent.close()
 
 
 def most_descriptors() -> int:
--- a/tests/scale/test_run.py
+++ b/tests/scale/test_run.py
@@ -109,13 +109,15 @@
 
 @pytest.mark.long
 def test_every_fault_is_played_and_all_come_back(tmp_path: Path) -> None:
-    faults = ("voter", "cut", "zone", "some", "all")
+    faults = ("discovery", "voter", "cut", "zone", "some", "all")
     words = [word for fault in faults for word in ("--phase", fault)]
     run = begin(tmp_path, "--routers", "16", "--delay-ms", "5", *words)
     _, said = run.communicate(timeout=240)
     assert run.returncode == 0, said
     told = figures(tmp_path)["phases"]
     assert list(told) == ["join", *faults]
+    assert told["discovery"]["start"]["whole"] == 16
+    assert told["discovery"]["calls_per_router_s"] <= 0.5  # a watch lasts for two seconds
     assert told["voter"]["holding_without_it"] == 16
     assert (told["cut"]["inside"], told["cut"]["inside_holding"]) == (4, 0)
     assert told["cut"]["outside_holding"] == told["cut"]["outside"] == 12
