Tell operators how a larger fleet is measured

The reasons of two quantities name what a profile of a control machine shows at 232 routers: a fifth of its busy time in a change goes to a walk over all members at each message (member.py, _reached).

--- a/pebblepass/scale/fit.py
+++ b/pebblepass/scale/fit.py
@@ -114,16 +114,16 @@
         ("phases", "change", "voter_cpu_s"),
         "s",
         2,
-        "the value is encoded anew for each, and grows with the members",
+        "the proposer walks all members at each message until it is in force",
     ),
     Quantity(
         "change: half of the routers",
         ("phases", "change", "p50_s"),
         "s",
         2,
-        "a voter's CPU for it",
+        "the proposer's CPU",
     ),
-    Quantity("change: all routers", ("phases", "change", "max_s"), "s", 2, "a voter's CPU for it", 18.0),
+    Quantity("change: all routers", ("phases", "change", "max_s"), "s", 2, "the proposer's CPU", 18.0),
     Quantity(
         "join: all routers", ("phases", "join", "all_joined_s"), "s", 2, "a value to each, from each voter"
     ),
