Tell by kind what a router was sent, and wait out a change that was told open

Need: hollow and full routers were compared by their rates, which a busy machine moves; and a change at 465 routers, told open since its 7.6 s were over on a busy machine, ended the run. A change told open is waited for and counted as such; one refused ends the run.

--- a/pebblepass/scale/figures.py
+++ b/pebblepass/scale/figures.py
@@ -35,7 +35,7 @@
     return sum(new.get(what, {}).get(name, 0) - old.get(what, {}).get(name, 0) for name in names)
 
 
-def _traffic(plan: Plan, before: Look, after: Look, names: list[str]) -> dict[str, float]:
+def _traffic(plan: Plan, before: Look, after: Look, names: list[str]) -> dict[str, Any]:
     """Per router and second; what a control machine is sent, a router sends."""
     seconds, voters = after.at - before.at, plan.voter_names()
     sums = {what: sum(counted(before, after, voter, what, names) for voter in voters) for what in COUNTS}
@@ -45,9 +45,23 @@
         "received_per_s": sums["messages_out"] / share,
         "messages_per_s": (sums["messages_in"] + sums["messages_out"]) / share,
         "bytes_per_s": (sums["bytes_in"] + sums["bytes_out"]) / share,
+        "received": _kinds(plan, before, after, names),
     }
 
 
+def _kinds(plan: Plan, before: Look, after: Look, names: list[str]) -> dict[str, float]:
+    """What one of these routers was sent, by kind of message."""
+    sort, found = names[0][0], dict[str, float]()
+    for voter in plan.voter_names():
+        kinds = [kind for kind in after.told.get(voter, {}).get("kinds", {}) if kind.endswith(f" {sort}")]
+        for kind in kinds:
+            count = counted(before, after, voter, "kinds", [kind])
+            if count:
+                name = kind.partition(" ")[0]
+                found[name] = found.get(name, 0.0) + count / len(names)
+    return found
+
+
 def _spent(before: Look, after: Look, name: str) -> float:
     return after.cpu.get(name, 0.0) - before.cpu.get(name, 0.0)
 
--- a/pebblepass/scale/hollow.py
+++ b/pebblepass/scale/hollow.py
@@ -119,7 +119,7 @@
         self.bytes_in: Counter[str] = Counter()
         self.bytes_out: Counter[str] = Counter()
         self.kinds: Counter[str] = Counter()
-        """Messages sent, by kind."""
+        """Messages sent, by kind and by the first letter of the router's name: of what sort it is."""
         sound = self.links.send
 
         def send(name: str, message: bytes, boot: str = "") -> None:
@@ -137,7 +137,7 @@
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Send):
-                self.kinds[type(action.message.body).__name__] += 1
+                self.kinds[f"{type(action.message.body).__name__} {action.to[0]}"] += 1
         super()._carry_out(actions)
 
 
--- a/pebblepass/scale/run.py
+++ b/pebblepass/scale/run.py
@@ -409,7 +409,7 @@
         return {"holding": len(holding)}
 
     async def _change(self) -> dict[str, Any]:
-        plan, took = self._plan, []
+        plan, took, told_open = self._plan, [], 0
         before = await self._look()
         for number in range(plan.changes):
             seen, said = len(self._proposed), len(self._verdicts)
@@ -420,7 +420,8 @@
             begun = self._proposed[-1].at
             await self._until(lambda said=said: len(self._verdicts) > said, "a verdict")  # type: ignore[misc]
             verdict = self._verdicts[-1]
-            if verdict.state != "in force":
+            told_open += verdict.state == "open"  # it ends by itself, and is waited for
+            if verdict.state == "refused":
                 raise RunError(f"change {number}: {verdict.state}, version {verdict.version}")
             self._version = verdict.version
             await self._all_hold(self._routers(), self._version, begun)
@@ -429,7 +430,8 @@
         after = await self._look()
         idle = self.figures["phases"].get("idle")
         value = max(each["value_bytes"] for each in after.told.values())
-        return {**of_changes(plan, before, after, took, idle), "value_bytes": value}
+        told = {"value_bytes": value, "told_open": told_open}
+        return {**of_changes(plan, before, after, took, idle), **told}
 
     async def _all_listed(self, generation: int, since: int) -> float:
         """Wait until all have a list; returns the seconds that it took."""
