Start routers at a pace, and tell what links were closed for

Need: 930 routers that all started at once on a busy machine had not joined after 120 s; what else they cost is to be measured all the same, and why they had not is to be told.

--- a/pebblepass/scale/commands.py
+++ b/pebblepass/scale/commands.py
@@ -44,6 +44,7 @@
 @click.option("--lease-ms", type=click.IntRange(100, 60_000), default=6000, show_default=True)
 @click.option("--regions", type=click.IntRange(1, 9), default=4, show_default=True)
 @click.option("--delay-ms", type=click.FloatRange(0, 1000), default=0.0, show_default=True)
+@click.option("--pace-ms", type=click.FloatRange(0, 1000), default=0.0, help="Between starts; 0: at once.")
 @click.option("--processes", type=click.IntRange(0), default=0, help="Of hollow routers; 0: by their number.")
 @click.option("--memory-mb", type=click.IntRange(1, MEMORY_MB), default=MEMORY_MB, show_default=True)
 @click.option("--patience", "patience_s", type=click.FloatRange(1, 600), default=120.0, show_default=True)
--- a/pebblepass/scale/hollow.py
+++ b/pebblepass/scale/hollow.py
@@ -59,6 +59,8 @@
     places: tuple[Place, ...]
     lease_ms: int
     seed: int
+    pace_s: float = 0.0
+    """From the start of one router to the next; a restart knows no pace."""
     counted: bool = False
     """Whether messages are counted, by the router on the other side: at the control machines alone."""
 
@@ -189,6 +191,7 @@
             case "start":
                 for name in self._places:
                     await self.start(name)
+                    await asyncio.sleep(self._told.pace_s)
             case "restart":
                 for name in order.names:
                     self._parts.pop(name).let_go()
--- a/pebblepass/scale/plan.py
+++ b/pebblepass/scale/plan.py
@@ -73,6 +73,8 @@
     regions: int = 4
     delay_ms: float = 0.0
     """One way, between regions."""
+    pace_ms: float = 0.0
+    """From the start of one router to the next; 0: all start at once."""
     processes: int = 0
     """Of hollow routers; 0: by their number."""
     memory_mb: int = MEMORY_MB
--- a/pebblepass/scale/run.py
+++ b/pebblepass/scale/run.py
@@ -186,6 +186,7 @@
             tuple(self._place(name) for name in names),
             plan.lease_ms,
             plan.seed,
+            plan.pace_ms / 1000 * plan.hollow_processes,
             counted,
         )
         path = self._folder / f"{process}.json"
@@ -361,13 +362,31 @@
             self.figures["load_after"] = os.getloadavg()
             await self._end()
 
+    async def _causes(self) -> dict[str, int]:
+        """Links that control machines have closed so far, by cause."""
+        sums: Counter[str] = Counter()
+        for name in self._plan.voter_names():
+            if self._children[name].wanted:
+                sums.update((await self._ask_figures(name))["closed"])
+        return dict(sums)
+
     async def _phase(self, name: str, play: Callable[[], Awaitable[dict[str, Any]]]) -> None:
         self._where = name
         self._say(f"{name} ...")
         before = await self._look()
-        extra = await play()
+        try:
+            extra = await play()
+        except RunError as error:
+            self.figures["failed"] = {"phase": name, "why": str(error)}
+            with contextlib.suppress(RunError):
+                self.figures["failed"] |= {
+                    **by_role(self._plan, before, await self._look()),
+                    "links_closed": await self._causes(),
+                }
+            raise
         after = await self._look()
-        self.figures["phases"][name] = {**by_role(self._plan, before, after), **extra}
+        closed = {"links_closed": await self._causes()}
+        self.figures["phases"][name] = {**by_role(self._plan, before, after), **closed, **extra}
 
     async def _start(self) -> None:
         plan, loop = self._plan, asyncio.get_running_loop()
