Tell what control machines send each other

Need: at 930 a control machine spent 14 s of CPU on a start of all; what they ask each other of silent routers is part of it. Change: the kinds of messages that a control machine is sent by the others, beside those that routers are sent. Result: tests/scale/test_plan.py passes.

--- a/pebblepass/scale/figures.py
+++ b/pebblepass/scale/figures.py
@@ -95,7 +95,7 @@
     return told
 
 
-def _voter(plan: Plan, before: Look, after: Look) -> dict[str, float]:
+def _voter(plan: Plan, before: Look, after: Look) -> dict[str, Any]:
     seconds, voters = after.at - before.at, plan.voter_names()
     sums = {
         what: sum(
@@ -109,6 +109,7 @@
         "bytes_per_s": (sums["bytes_in"] + sums["bytes_out"]) / share,
         "cores": sum(max(_spent(before, after, name), 0.0) for name in voters) / share,
         "memory_mb": max(after.memory.get(name, 0.0) for name in voters),
+        "received": _kinds(plan, before, after, voters),
         "connections": max(after.told.get(name, {}).get("connections", 0) for name in voters),
     }
 
--- a/tests/scale/test_plan.py
+++ b/tests/scale/test_plan.py
@@ -76,4 +76,5 @@
     assert told["router"]["bytes_per_s"] == pytest.approx(200.0)
     assert told["router"]["cores"] == pytest.approx(0.09)
     assert told["router"]["memory_mb"] == pytest.approx(20.0)
+    assert told["voter"]["received"] == {}  # none between two looks
     assert told["voter"]["cores"] == pytest.approx(0.2)
