--- a/pebblepass/scale/fit.py
+++ b/pebblepass/scale/fit.py
@@ -239,9 +239,7 @@
         tuple(float(size) for size in sizes),
         tuple(float(value) for value in values),
         tuple(float(each) / power for each, power in zip(found, powers, strict=True)),
-        tuple(
-            float(np.sqrt(spread * inverse[power, power])) / powers[power] for power in range(degree + 1)
-        ),
+        tuple(float(np.sqrt(spread * inverse[power, power])) / powers[power] for power in range(degree + 1)),
         float(target),
         float(at @ found),
         student(freedom) * float(np.sqrt(spread * (1 + leverage))) if freedom > 0 else float("inf"),
--- a/pebblepass/scale/full.py
+++ b/pebblepass/scale/full.py
@@ -1,6 +1,6 @@
 """The daemon as a run of hollow routers starts it: its own in all, but that it ends with its standard input.
 
-    LB_CONFIG=FILE [PEBBLEPASS_OPERATOR=FILE] python -m pebblepass.scale.full
+LB_CONFIG=FILE [PEBBLEPASS_OPERATOR=FILE] python -m pebblepass.scale.full
 """
 
 from __future__ import annotations
--- a/pebblepass/scale/plan.py
+++ b/pebblepass/scale/plan.py
@@ -9,7 +9,7 @@
 | voter | a control machine is killed, and started after two leases | it holds its lease |
 | cut | a region hears nobody for two leases | all hold a lease again |
 | zone | likewise a zone, half a region | likewise |
-| some | 100 routers restart, or a tenth where there are fewer than 1,000 | all hold a lease |
+| some | 100 routers restart, or a tenth where there are fewer than 900 | all hold a lease |
 | all | all routers and control machines restart | all hold a lease |
 """
 
@@ -129,7 +129,7 @@
     def restarted(self) -> list[str]:
         """The routers that restart in the phase `some`."""
         names = self.hollow_names()
-        count = 100 if self.routers >= 1000 or len(names) >= 900 else max(len(names) // 10, 1)
+        count = 100 if len(names) >= 900 else max(len(names) // 10, 1)
         return sorted(random.Random(f"{self.seed} some").sample(names, count))
 
     def listed(self) -> list[dict[str, Any]]:
