--- a/pebblepass/scale/decisions.py
+++ b/pebblepass/scale/decisions.py
@@ -51,7 +51,8 @@
     TimerFired,
 )
 from pebblepass.decisions.logic import DEPTH, SLOTS
-from pebblepass.membership.registry import ASKED, PUSHED, Clock, read_listing, write_listing
+from pebblepass.membership.pace import ASKED, PUSHED
+from pebblepass.membership.registry import Clock, read_listing, write_listing
 
 S = 1_000_000_000
 MS = 1_000_000
@@ -786,7 +787,7 @@
         click.echo("  ".join(f"{key} {value:.5g}" for key, value in asdict(cost).items()))
     calls = [outage(count, down) for count in routers]
     for each in calls:
-        idle = each.routers / ASKED.wait
+        idle = each.routers / ((ASKED.wait + ASKED.most) / 2)
         click.echo(
             f"routers {each.routers}: idle {idle:.4g} calls a second where lists are asked for, "
             f"{1 / PUSHED.wait:g} at each router's own agent where they are pushed; in an outage of {down} s "
