--- a/tests/rehearsal/test_recovery.py
+++ b/tests/rehearsal/test_recovery.py
@@ -132,7 +132,8 @@
     assert sum(map(sum, told["refused"].values())) == sum(
         tally["refused"] for tally in report["routers"].values()
     )
-    before, after = told["held"][4], min(told["held"])
+    # Second 4's sample and the trouble are due at one instant: which comes first is nobody's promise.
+    before, after = min(told["held"][:4]), min(told["held"])
     assert before > 0.9
     assert after < 0.6
     beside = against(report, twin, plan, clairvoyant(plan))
