Tell the origin what is left of the client's time, as cache servers are told

Cause: Attempt.request_bytes put the client's list of names and values as it came into Request-Info, so that a retry after an attempt that timed out told the origin the whole time again.

Change: daemon/deadline_propagation.py alone says what an attempt advertises; every attempt asks it as its bytes are written: reads, keyed and unsafe writes, batches of many keys, at cache servers and at the origin. wire/resp.py: info_for becomes with_timeout, which rewrites d and leaves every other name and their order.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from pebblepass.control.counters import Counters
+from pebblepass.daemon import deadline_propagation
 from pebblepass.daemon.deadlines import Deadline
 from pebblepass.daemon.lag import LoopLag, after_news
 from pebblepass.daemon.upstream import Answer, Exchange, ValueSource
@@ -18,7 +19,6 @@
 if TYPE_CHECKING:
     from pebblepass.figures.ledger import Ledger
 
-NS_PER_MS = 1_000_000
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
@@ -247,15 +247,16 @@
             self.give_up(Outcome.TIMEOUT)
 
     def request_bytes(self, address: Address) -> bytes:
-        """The client's command again, with what is left of its time."""
-        command = self._request.command
+        """Encode the client's request for this server, advertising what is left of the client's time."""
+        request, command = self._request, self._request.command
+        timeout_ms = deadline_propagation.remaining_ms(request.deadline, self._host.now(), command.timeout_ms)
         if self._to_origin:
             method = "GET" if command.value is None else "PUT"
-            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
+            info = resp.with_timeout(command.info, timeout_ms)
+            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, info)
             target = "/" + _as_path(command.key)
             return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
-        left = max((self._request.deadline - self._host.now()) // NS_PER_MS, 1)
-        return command.as_bytes(left)
+        return command.as_bytes(timeout_ms)
 
     def written(self) -> None:
         """Count it as sent."""
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -10,6 +10,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from pebblepass.daemon import deadline_propagation
 from pebblepass.daemon.attempts import OpenRequest
 from pebblepass.daemon.clients import Reply
 from pebblepass.daemon.lag import after_news
@@ -30,7 +31,7 @@
 )
 from pebblepass.wire.address import Address
 from pebblepass.wire.answers import AnswerError
-from pebblepass.wire.resp import LARGE, MANY, Command, bulk_length, command, info_for, read_command
+from pebblepass.wire.resp import LARGE, MANY, Command, bulk_length, command, read_command, with_timeout
 
 if TYPE_CHECKING:
     from pebblepass.daemon.attempts import Attempt
@@ -183,7 +184,7 @@
         """Its client has left, or its answer is written."""
         self.streams: dict[int, KeyReply] = {}
         self.exchanges: dict[PartExchange, None] = {}
-        self._told_left, self._info = -1, b""
+        self._advertised_ms, self._info = -1, b""
         self.light: dict[str, KeyAttempt] = {}
         """Keys that the module has been told of and that have no open request, by their request's id."""
         self.let_go: set[int] = set()
@@ -193,10 +194,14 @@
         due = max(self.deadline - reads.margin, now)
         self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self.time_up))
 
-    def info_for(self, left_ms: int) -> bytes:
-        """The list to pass on while so much of its time is left."""
-        if left_ms != self._told_left:
-            self._told_left, self._info = left_ms, info_for(self.command.info, left_ms)
+    def info_to_send(self, now: int) -> bytes:
+        """Return the list of names and values for a batch that is written at this time, in nanoseconds.
+
+        Batches written within the same millisecond share one encoding.
+        """
+        remaining_ms = deadline_propagation.remaining_ms(self.deadline, now, self.command.timeout_ms)
+        if remaining_ms != self._advertised_ms:
+            self._advertised_ms, self._info = remaining_ms, with_timeout(self.command.info, remaining_ms)
         return self._info
 
     def request_id(self, number: int) -> str:
@@ -617,7 +622,6 @@
         """The reads of those keys that still want an answer."""
         part, now = self._part, self._reads.host.now()
         part.heard_at = now  # the wait for a connection is not the server's silence
-        left = max((self._read.deadline - now) // NS_PER_MS, 1)
         wanted = []
         for key in part.items:
             if key.wanted:
@@ -628,7 +632,7 @@
         if not wanted:
             self._reads.loop.call_soon(self.give_up, Outcome.MOOT)
             return b""
-        info, keys = self._read.info_for(left), self._read.gathering.keys
+        info, keys = self._read.info_to_send(now), self._read.gathering.keys
         if not part.as_one:
             return b"".join([read_command(keys[key.number], key.request_id.encode(), info) for key in wanted])
         self.array_expected = True
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -54,9 +54,9 @@
         value = len(self.value) if self.value is not None else 0
         return len(self.key) + len(self.id) + len(self.info) + value
 
-    def as_bytes(self, left_ms: int) -> bytes:
-        """The command to pass on, with what is left of its time."""
-        info = info_for(self.info, left_ms)
+    def as_bytes(self, timeout_ms: int) -> bytes:
+        """Encode the command for a cache server, advertising a timeout in milliseconds."""
+        info = with_timeout(self.info, timeout_ms)
         if self.value is not None:
             return command(self.name, self.key, self.id, info, self.value)
         return read_command(self.key, self.id, info)
@@ -246,12 +246,16 @@
     return word.isascii() and word.decode("ascii").isprintable()
 
 
-def info_for(told: bytes, left_ms: int) -> bytes:
-    """The list of names and values to pass on, telling by `d` how long the router will wait."""
-    info = b"," + told
-    start = info.index(b",d=") + 3
-    end = info.find(b",", start)
-    return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
+def with_timeout(info: bytes, timeout_ms: int) -> bytes:
+    """Return a request's list of names and values with the value of `d` replaced, in milliseconds.
+
+    All other names, their values and their order stay as they are. Raises ValueError where `d` is missing.
+    """
+    listed = b"," + info
+    start = listed.index(b",d=") + len(b",d=")
+    end = listed.find(b",", start)
+    rest = listed[end:] if end >= 0 else b""
+    return b"%b%d%b" % (listed[1:start], timeout_ms, rest)
 
 
 def read_command(key: bytes, name: bytes, info: bytes) -> bytes:
--- a/tests/manykeys/site.py
+++ b/tests/manykeys/site.py
@@ -22,6 +22,7 @@
 from pebblepass.standins.registry import RegistryAgent
 from pebblepass.standins.witness import Nobody
 from pebblepass.wire.resp import bulk, command
+from tests.crossings import Advertised, advertised_ms
 from tests.sockets import FACTS, http_answer
 from tests.virtual import played
 
@@ -52,6 +53,10 @@
         times = sum(1 for _, name, asked, _ in site.attempts if asked == key and name != "store")
         return site.fate(self.name, key, times)
 
+    def advertised(self, request: str, info: bytes) -> None:
+        """Note the time that a request advertises, as it was when its bytes were written."""
+        self.site.advertised.append(Advertised(self.loop.time(), request, advertised_ms(b"," + info)))
+
     def value(self, key: str, request: str) -> bytes:
         return f"{key} of {request.partition('.')[0]}".encode()
 
@@ -65,6 +70,7 @@
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
         while (words := self.reader.gets()) is not False:
+            self.node.advertised(words[-2].decode(), words[-1])
             if words[0] == b"KV.MGET":
                 self.asked_many(words)
             else:
@@ -125,6 +131,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"request-id":
             self.request = value.decode()
+        elif name.lower() == b"request-info":
+            self.store.advertised(self.request, value)
 
     def on_message_complete(self) -> None:
         site, key = self.store.site, unquote(self.target[1:].decode())
@@ -162,6 +170,8 @@
     ) -> None:
         self.loop, self.fate, self.section = loop, fate, section
         self.attempts: list[tuple[float, str, str, str]] = []
+        self.advertised: list[Advertised] = []
+        """The time that each request to a node or the store advertised; a list of keys counts once."""
         self.fetching = self.most_fetching = self.as_one = 0
         self.nodes = [Served(self, f"s{number}") for number in range(nodes)]
         self.store = Served(self, "store", is_store=True)
