Send nothing with less time left than can be advertised

Need: what is advertised is never under 1 ms and never above what is left; both hold only if nothing is sent with less than 1 ms left. An attempt or a batch that had waited for its connection, or behind a late loop, was written even past its client's deadline, telling 1 ms.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -152,9 +152,10 @@
         now: int,
         until: int = 0,
     ) -> None:
-        """`until`: the time after which it must not be sent any more; 0: there is none."""
+        """`until`: a time from which it must not be sent, before its client's own; 0: there is none."""
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
-        self._until = until
+        latest = deadline_propagation.latest_start(request.deadline)
+        self._latest_start = min(until, latest) if until else latest
         self._number = request.attempts
         self._sent_at, self._lag_before = now, host.lag.total(now)
         self.is_write = request.command.value is not None
@@ -176,7 +177,7 @@
     @property
     def wanted(self) -> bool:
         """Whether its request has no final answer yet, and the time in which it may be sent is not over."""
-        return not (self._request.closed or (self._until and self._host.now() >= self._until))
+        return not self._request.closed and self._host.now() < self._latest_start
 
     def may_begin(self) -> bool:
         """Whether it is wanted, and its client is there; one whose client has gone is let go."""
--- a/pebblepass/daemon/deadline_propagation.py
+++ b/pebblepass/daemon/deadline_propagation.py
@@ -12,6 +12,15 @@
 """The shortest time that can be advertised: the protocol counts in whole milliseconds."""
 
 
+def latest_start(deadline_ns: int) -> int:
+    """Return the time in nanoseconds from which no attempt may be written for a client with this deadline.
+
+    With less left than the shortest time that can be advertised, any attempt would promise its server more
+    than its client still waits.
+    """
+    return deadline_ns - SHORTEST_TIMEOUT_MS * NS_PER_MS
+
+
 def remaining_ms(deadline_ns: int, now_ns: int, client_timeout_ms: int) -> int:
     """Return the whole milliseconds left until a deadline, as an attempt written now advertises them.
 
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -612,7 +612,12 @@
             self._look_at()
 
     def may_begin(self) -> bool:
-        """Whether the command's client is there: one look for all keys; a command without one is let go."""
+        """Whether the command has time left and its client is there: one look for all keys.
+
+        A command without a client is let go.
+        """
+        if self._reads.host.now() >= deadline_propagation.latest_start(self._read.deadline):
+            return False
         if self._read.reply.awaited():
             return True
         self._reads.client_gone(self._read)
--- a/tests/daemon/test_deadline_propagation.py
+++ b/tests/daemon/test_deadline_propagation.py
@@ -241,6 +241,61 @@
     crossing(test)
 
 
+# Too little time for any attempt
+
+
+@pytest.mark.parametrize(("left_us", "is_sent"), [(1500, True), (500, False)])
+@pytest.mark.parametrize("request_class", ["get", "put", "once"])
+def test_with_less_left_than_can_be_advertised_nothing_is_sent(
+    request_class: str, left_us: int, is_sent: bool
+) -> None:
+    """The dial comes up in the last moment; the deadline's own timer has not come yet."""
+
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        peers = [*bed.caches.values(), bed.origin]
+        gate = asyncio.Event()
+        bed.loop.gates.update((peer.address, gate) for peer in peers)
+        value = None if request_class == "get" else b"v"
+        client.ask("r", request_class, d=100, value=value)
+        await bed.wait(0.1 - left_us / 1e6)
+        gate.set()
+        await bed.wait(1.0)
+        seen = advertised_to(bed, "r")
+        assert [each.timeout_ms for each in seen] == ([1] if is_sent else [])
+        assert len(client.answers()) == 1
+        await bed.wait(2.0)
+        bed.nothing_held()
+
+    crossing(test, facts=SLOW_DIALS)
+
+
+@pytest.mark.parametrize("request_class", ["get", "put", "once"])
+def test_a_dial_that_comes_up_in_a_hold_up_past_the_deadline_sends_nothing(request_class: str) -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        gate = asyncio.Event()
+        bed.loop.gates.update((peer.address, gate) for peer in [*bed.caches.values(), bed.origin])
+        value = None if request_class == "get" else b"v"
+        client.ask("r", request_class, d=100, value=value)
+        await bed.settle()
+        gate.set()
+        opened = bed.pool.opened
+
+        def opened_late(connection: Any) -> None:
+            bed.loop.stall(0.2)
+            opened(connection)
+
+        bed.pool.opened = opened_late
+        await bed.wait(1.0)
+        assert advertised_to(bed, "r") == []
+        assert len(client.answers()) == 1
+        await bed.wait(2.0)
+        bed.nothing_held()
+
+    crossing(test, facts=SLOW_DIALS)
+
+
 # Reads of many keys
 
 
@@ -285,6 +340,27 @@
     on_site(test)
 
 
+def test_no_batch_is_sent_past_the_deadline_of_its_command() -> None:
+    async def test(site: Site) -> None:
+        client = await site.client()
+        submit, held = site.daemon._pool.submit, []
+
+        def submit_late(server: str, exchange: Any) -> None:
+            if not held:
+                held.append(exchange)
+                site.loop.stall(0.5)
+            submit(server, exchange)
+
+        site.daemon._pool.submit = submit_late  # type: ignore[method-assign]
+        sent_at = site.loop.time()
+        await client.many(["k1", "k2", "k3"], d=200)
+        assert held
+        late = [each for each in site.advertised if each.at > sent_at + 0.2 - 0.001]
+        assert late == []
+
+    on_site(test)
+
+
 # The arithmetic and the rewriting
 
 
