Make the test of a batch past its deadline reach a connection at rest

Change: the connections are warm, so that the batch is written right after the hold-up; types named.

--- a/tests/daemon/test_deadline_propagation.py
+++ b/tests/daemon/test_deadline_propagation.py
@@ -343,7 +343,11 @@
 def test_no_batch_is_sent_past_the_deadline_of_its_command() -> None:
     async def test(site: Site) -> None:
         client = await site.client()
-        submit, held = site.daemon._pool.submit, []
+        await client.many([f"k{number}" for number in range(40)], "warm")
+        await asyncio.sleep(0.1)  # a connection to every node is at rest: none has to be dialled
+        pool: Any = site.daemon._pool
+        submit = pool.submit
+        held: list[Any] = []
 
         def submit_late(server: str, exchange: Any) -> None:
             if not held:
@@ -351,7 +355,7 @@
                 site.loop.stall(0.5)
             submit(server, exchange)
 
-        site.daemon._pool.submit = submit_late  # type: ignore[method-assign]
+        pool.submit = submit_late
         sent_at = site.loop.time()
         await client.many(["k1", "k2", "k3"], d=200)
         assert held
