Refuse a list of names and values that tells the client's time twice

Cause: with d twice the deadline came from the last, and what was advertised replaced the first, so that a server that reads the last was told the client's whole time on every attempt.

Change: such a list gets one line, -ERR d must stand once, as one without d or with a d that is no number has its line. Other names may stand twice as before.

Tests: tests/wire/test_resp.py, nine more; against the program before, the two with d twice fail.

--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -227,9 +227,13 @@
     if not info or not _plain(info):
         raise ValueError("id and list must be plain text")
     try:
-        fields: dict[str, str] = dict([part.split("=", 1) for part in info.decode("ascii").split(",")])
+        pairs = [part.split("=", 1) for part in info.decode("ascii").split(",")]
+        fields: dict[str, str] = dict(pairs)
     except ValueError:
         raise ValueError("expected a list of names and values") from None
+    if len(fields) < len(pairs) and sum(name == "d" for name, _ in pairs) > 1:
+        # Danger: of two times one would be kept to here, and the other passed on.
+        raise ValueError("d must stand once")
     timeout = fields.get("d", "")
     if not timeout.isdecimal() or len(timeout) > 9:
         raise ValueError("d must be a number of milliseconds")
--- a/tests/wire/test_resp.py
+++ b/tests/wire/test_resp.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from pebblepass.wire.resp import CommandReader, command, parse_request
+from pebblepass.wire.resp import CommandReader, command, parse_request, read_fields
 
 # Line ends, marks and digits in the words themselves are what a reader in one step could trip over.
 WORDS = strategies.binary(max_size=12) | strategies.sampled_from(
@@ -70,6 +70,30 @@
     assert write.as_bytes(7) == command(b"KV.SET", b"key", b"id", passed, b"a\r\nvalue")
 
 
+@pytest.mark.parametrize(
+    ("info", "problem"),
+    [
+        (b"c=get,t=a", "d must be a number of milliseconds"),
+        (b"c=get,d=", "d must be a number of milliseconds"),
+        (b"c=get,d=1s", "d must be a number of milliseconds"),
+        (b"c=get,d=-5", "d must be a number of milliseconds"),
+        (b"c=get,d=9999999999", "d must be a number of milliseconds"),
+        (b"c=get,d=900,d=900", "d must stand once"),
+        (b"d=100,c=get,t=a,d=900", "d must stand once"),
+        (b"c=get,d", "expected a list of names and values"),
+    ],
+)
+def test_a_list_that_tells_no_single_time_is_refused_in_one_plain_line(info: bytes, problem: str) -> None:
+    with pytest.raises(ValueError, match=f"^{problem}$"):
+        parse_request([b"KV.GET", b"key", b"id", info])
+    with pytest.raises(ValueError, match=f"^{problem}$"):
+        read_fields(b"id", info)
+
+
+def test_another_name_may_stand_twice() -> None:
+    assert parse_request([b"KV.GET", b"key", b"id", b"c=get,x=1,d=900,x=2"]).timeout_ms == 900
+
+
 def long_list(count: int) -> bytes:
     words = [b"KV.MGET", b"%d" % count, *[b"pkg/%d/1.0" % n for n in range(count)], b"q", b"c=get,d=5"]
     return command(*words)
