Count a client's time from when its request came, also where it was read late

Cause: a request's deadline began when the router read it. Behind a loop that was held up, on a connection that was not read for a while (256 answers owed, or a client that takes nothing), or on one that came from another process, the request had stood in the kernel, and every attempt advertised that much more than was left.

Change: daemon/unread_age.py bounds the age of what is read by the last time at which nothing stood unread: a look at the sockets by the loop's beat, a short read, or a look at a paused connection. The look that asks whether a client has left asks for unread bytes too; no further call.

Not covered: the time that the giving process of a hand-over held the connection for is not known to the taking one.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -39,6 +39,10 @@
     request: Any
     """The host's."""
 
+    @property
+    def unread_ns(self) -> int:
+        """Nanoseconds for which its command may have stood unread, while that command is being taken."""
+
     @property
     def null(self) -> bytes:
         """The null in its client's protocol."""
--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -13,7 +13,8 @@
 
 from pebblepass.admission.descriptors import REFUSERS
 from pebblepass.admission.places import Standing, makes_room
-from pebblepass.daemon.unread import ANYTHING, END, accept_rest, has_ended, looks
+from pebblepass.daemon.unread import ANYTHING, accept_rest, has_ended, looks
+from pebblepass.daemon.unread_age import UnreadAge
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
@@ -139,6 +140,11 @@
         replies = self._connection.replies
         return bool(replies) and replies[0] is self
 
+    @property
+    def unread_ns(self) -> int:
+        """Nanoseconds for which its command may have stood unread, while that command is being taken."""
+        return self._connection.unread_ns
+
     @property
     def null(self) -> bytes:
         """The null in the client's protocol."""
@@ -174,8 +180,10 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer, handed: Handed | None = None) -> None:
-        """`handed`: what another process has begun on it."""
+    def __init__(
+        self, server: ClientServer, handed: Handed | None = None, empty_at: float | None = None
+    ) -> None:
+        """`handed`: what another process has begun on it; `empty_at`: when nothing stood unread on it."""
         self.server, self._handed = server, handed
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
@@ -194,6 +202,11 @@
         # Danger: before the first read nothing is known, as a connection may have waited long to be accepted.
         self._heard_at, self._read_at = float("-inf"), float("inf")
         self._has_left = False
+        # One that was accepted just now has come since the last look at the listener.
+        self._unread_age = UnreadAge(server.lag.heard_at if empty_at is None else empty_at)
+        self._reading_since = self.used_at
+        self.unread_ns = 0
+        """Nanoseconds for which what was read last may have stood unread."""
         self.refusing = False
         self.given = False
         """Whether it is on its way to another process."""
@@ -245,7 +258,10 @@
     def _read(self, data: bytes) -> None:
         reader = self._reader
         self._heard_at = self._last_heard()  # what stands behind these bytes is read a turn later
-        self._read_at = self.used_at = self.server.loop.time()
+        if self._reading and self._reading_since < (heard := self.server.lag.heard_at):
+            self._unread_age.emptied(heard)
+        self._read_at = self.used_at = now = self.server.loop.time()
+        self.unread_ns = int(self._unread_age.read(now, len(data)) * 1e9)
         fresh = not reader.need
         commands = reader.feed(data)
         if len(commands) > 1 and self.client_has_left():
@@ -376,7 +392,7 @@
             return
         self._reading = wanted
         if wanted:
-            self._read_at = self.server.loop.time()
+            self._read_at = self._reading_since = self.server.loop.time()
             self.transport.resume_reading()
         else:
             self.transport.pause_reading()
@@ -386,9 +402,12 @@
         """Whether its end, or a reset, stands in the kernel, perhaps behind bytes that nobody has read."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if has_ended(self.server.unread(self._descriptor, END)):
+        found = self.server.unread(self._descriptor, ANYTHING)
+        if has_ended(found):
             return True
         self._heard_at = self.server.loop.time()
+        if not found & select.POLLIN:
+            self._unread_age.emptied(self._heard_at)
         return False
 
     def _last_heard(self) -> float:
@@ -513,7 +532,9 @@
             self.server.greeted += 1
             self.greeted = Greeted(handed.number, handed.protocol, handed.name)
         if handed.held:
+            unread_age, self._unread_age = self._unread_age, UnreadAge(self.used_at)
             self.data_received(handed.held)
+            self._unread_age = unread_age  # nothing has been read from the socket itself
             self._begun_at = self.server.loop.time() - handed.begun_ms / 1000
 
     def abort(self) -> None:
@@ -618,7 +639,7 @@
 
     async def adopt(self, sock: socket.socket, handed: Handed) -> None:
         """Go on with a connection of another process."""
-        await self._adopt(sock, functools.partial(ClientConnection, self, handed))
+        await self._adopt(sock, functools.partial(ClientConnection, self, handed, self.lag.heard_at))
 
     async def listen(self, at: Address | socket.socket) -> None:
         """Accept clients at this address, or on a socket that listens already."""
@@ -668,7 +689,7 @@
         return accept_rest(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
 
     def _take_in(self, sock: socket.socket) -> None:
-        make = functools.partial(ClientConnection, self)
+        make = functools.partial(ClientConnection, self, None, self.lag.heard_at)
         task = self.loop.create_task(self._adopt(sock, make))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/pebblepass/daemon/many.py
+++ b/pebblepass/daemon/many.py
@@ -67,6 +67,11 @@
         self.source: ValueSource | None = None
         self.request: object = None
 
+    @property
+    def unread_ns(self) -> int:
+        """Nothing: its command's deadline is the key's."""
+        return 0
+
     def send(self, data: bytes) -> None:
         """Give the key's entry, or the end of its long value."""
         read = self._read
@@ -178,7 +183,7 @@
         self.reads, self.command, self.reply = reads, command, reply
         self.name = command.id.decode()
         self.gathering = Gathering(command.keys, reads.shares.bounds.value)
-        self.deadline = now + command.timeout_ms * NS_PER_MS
+        self.deadline = now - reply.unread_ns + command.timeout_ms * NS_PER_MS
         self.paused = False
         self.over = False
         """Its client has left, or its answer is written."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -226,7 +226,7 @@
             self.turned_away(command, refused="open requests")
         else:
             now = self.now()
-            deadline = now + command.timeout_ms * NS_PER_MS
+            deadline = now - reply.unread_ns + command.timeout_ms * NS_PER_MS
             if self.ledger is not None:
                 tenant = fields.get("t")
                 self.ledger.take(request_id, fields["c"], tenant, now, deadline, command.size, PATH)
--- a/pebblepass/daemon/unread.py
+++ b/pebblepass/daemon/unread.py
@@ -10,7 +10,6 @@
 from contextlib import suppress
 
 ANYTHING = select.POLLIN | select.POLLRDHUP
-END = select.POLLRDHUP
 _ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 Look = Callable[[int, int], int]
--- /dev/null
+++ b/tests/daemon/test_unread_age.py
@@ -0,0 +1,178 @@
+"""A deadline counts from when a request came, also where the router read it late."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from pebblepass.daemon.clients import MAX_PIPELINE
+from pebblepass.daemon.unread_age import RECENT_S, SHORT_READ, UnreadAge
+from pebblepass.handover.messages import Handed
+from tests.crossings import ADDRESS, Advertised, Bed, asked, crossing
+from tests.daemon.test_deadline_propagation import advertised_to, advertised_too_much
+from tests.manykeys.site import Site, on_site
+from tests.sockets import bulk
+
+HOLD_UP_S = 0.3
+CLIENT_TIMEOUT_MS = 2000
+LOOK_S = 0.1  # between two looks at a connection that is not read
+
+
+def not_far_below(seen: list[Advertised], sent_at: float, slack_s: float) -> bool:
+    """Whether each attempt advertised what was left but for this slack."""
+    expected = [CLIENT_TIMEOUT_MS - (each.at - sent_at + slack_s) * 1000 - 1.01 for each in seen]
+    return all(each.timeout_ms >= least for each, least in zip(seen, expected, strict=True))
+
+
+# The bound by itself
+
+
+def test_what_is_read_soon_after_a_look_counts_as_read_at_once() -> None:
+    age = UnreadAge(10.0)
+    assert age.read(10.0 + RECENT_S * 0.9, 100) == 0.0
+
+
+def test_what_is_read_late_may_have_come_right_after_the_last_look() -> None:
+    age = UnreadAge(10.0)
+    assert age.read(10.3, 100) == pytest.approx(0.3)
+    assert age.read(10.31, 100) == 0.0, "the read before has emptied the socket"
+
+
+def test_a_long_read_may_leave_more_behind() -> None:
+    age = UnreadAge(10.0)
+    assert age.read(10.3, SHORT_READ) == pytest.approx(0.3)
+    assert age.read(10.4, 100) == pytest.approx(0.4)
+
+
+def test_an_older_look_takes_nothing_back_and_nothing_known_is_no_age() -> None:
+    age = UnreadAge(10.0)
+    age.emptied(9.0)
+    assert age.read(10.2, 100) == pytest.approx(0.2)
+    assert UnreadAge(-math.inf).read(10.2, 100) == 0.0
+
+
+# On sockets
+
+
+async def open_connection(bed: Bed) -> None:
+    client = await bed.client()
+    await bed.wait(0.5)
+    client.transport.write(asked("r", d=CLIENT_TIMEOUT_MS))
+    bed.loop.stall(HOLD_UP_S)
+
+
+async def new_connection(bed: Bed) -> None:
+    """The connection itself comes in the hold-up."""
+    await bed.wait(0.5)
+    made = bed.loop.network.adopt()
+    made.connect((ADDRESS, bed.port))
+    made.send(asked("r", d=CLIENT_TIMEOUT_MS))
+    bed.loop.stall(HOLD_UP_S)
+
+
+async def handed_over(bed: Bed) -> None:
+    """Another process has read the first half of the command."""
+    await bed.wait(0.5)
+    listener = await bed.loop.create_server(asyncio.Protocol, ADDRESS, 0)
+    client = bed.loop.network.adopt()
+    client.connect(listener.sockets[0].getsockname())
+    command = asked("r", d=CLIENT_TIMEOUT_MS)
+    client.send(command[20:])
+    accepted, _ = bed.loop.network.by_fd[listener.sockets[0].fileno()].accept()
+    bed.loop.stall(HOLD_UP_S)
+    await bed.daemon.clients.adopt(accepted, Handed(command[:20], 0, True, 0, b"", 0))
+    await bed.settle()
+    listener.close()
+
+
+@pytest.mark.parametrize("way", [open_connection, new_connection, handed_over], ids=lambda way: way.__name__)
+def test_a_request_read_after_a_hold_up_advertises_what_is_left(
+    way: Callable[[Bed], Awaitable[None]],
+) -> None:
+    async def test(bed: Bed) -> None:
+        for cache in bed.caches.values():
+            cache.came = cache.miss
+        await way(bed)
+        sent_at = bed.loop.time() - HOLD_UP_S
+        await bed.wait(0.2)
+        seen = advertised_to(bed, "r")
+        assert len(seen) == 2
+        assert advertised_too_much(seen, sent_at, CLIENT_TIMEOUT_MS) == []
+        assert not_far_below(seen, sent_at, RECENT_S)
+
+    crossing(test)
+
+
+def test_what_stood_unread_on_a_paused_connection_advertises_what_is_left() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        await bed.wait(0.3)
+        client.transport.write(asked("p") + bulk(b"PING") * (MAX_PIPELINE - 1))
+        await bed.wait(0.2)
+        sent_at = bed.loop.time()
+        client.transport.write(asked("r", key="other", d=CLIENT_TIMEOUT_MS))
+        await bed.wait(0.5)
+        cache = bed.caches["a"]
+        cache.serve(cache.line("p"), "p")
+        await bed.wait(0.1)
+        seen = advertised_to(bed, "r")
+        assert len(seen) == 1
+        assert seen[0].at - sent_at >= 0.5
+        assert advertised_too_much(seen, sent_at, CLIENT_TIMEOUT_MS) == []
+        assert not_far_below(seen, sent_at, LOOK_S + RECENT_S)
+
+    crossing(test)
+
+
+def test_what_came_after_a_pause_has_all_of_its_time() -> None:
+    async def test(bed: Bed) -> None:
+        client = await bed.client()
+        await bed.wait(0.3)
+        client.transport.write(asked("p") + bulk(b"PING") * (MAX_PIPELINE - 1))
+        await bed.wait(1.0)
+        cache = bed.caches["a"]
+        cache.serve(cache.line("p"), "p")
+        sent_at = bed.loop.time()
+        client.transport.write(asked("r", key="other", d=CLIENT_TIMEOUT_MS))
+        await bed.wait(0.1)
+        seen = advertised_to(bed, "r")
+        assert len(seen) == 1
+        assert not_far_below(seen, sent_at, 0.0)
+
+    crossing(test)
+
+
+@pytest.mark.parametrize("between_s", [0.001, 0.005, 0.3])
+def test_requests_on_a_busy_connection_have_all_of_their_time(between_s: float) -> None:
+    async def test(bed: Bed) -> None:
+        for cache in bed.caches.values():
+            cache.came = cache.serve
+        client = await bed.client()
+        for number in range(200):
+            sent_at = bed.loop.time()
+            client.ask(f"r{number}", key=f"k{number}", d=CLIENT_TIMEOUT_MS)
+            await bed.wait(between_s)
+            seen = advertised_to(bed, f"r{number}")
+            assert not_far_below(seen, sent_at, 0.0), number
+
+    crossing(test)
+
+
+def test_a_list_of_keys_read_after_a_hold_up_advertises_what_is_left() -> None:
+    async def test(site: Site) -> None:
+        client = await site.client()
+        await client.many(["k1", "k2"], "warm")
+        await asyncio.sleep(0.5)
+        sent_at = site.loop.time()
+        client.ask_many(["k1", "k2", "k3"], d=1000)
+        site.loop.stall(HOLD_UP_S)
+        await client.answer()
+        site.answered["q"] = site.loop.time()
+        seen = [each for each in site.advertised if each.request.startswith("q")]
+        assert seen
+        assert advertised_too_much(seen, sent_at, 1000) == []
+
+    on_site(test)
