Test routers that end one after another while a quarter to a half of the servers hang

Change: tests/daemon/test_rolling_restart.py: three routers over eight shared servers in virtual time, other servers hang at each SIGTERM; clients rest, come again at once, or are new up to 0.4 s after it; read, keyed and unsafe requests. Caught: listener closed at SIGTERM, an end that waits for nobody, attempts without a limit, connections closed with requests open.

--- /dev/null
+++ b/tests/daemon/test_rolling_restart.py
@@ -0,0 +1,298 @@
+"""Routers that are told to end one after another, while a quarter to a half of the cache servers hang.
+
+Clients go on sending on every connection that stays open, come again at once after each answer, and open
+new connections for 0.4 s after SIGTERM. Every request that a router has taken gets its one final answer
+within its time, and every router ends before SIGKILL. The routers of this process share the servers, in
+virtual time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple, cast
+from unittest.mock import patch
+
+import pytest
+
+from pebblepass.daemon.attempts import Attempt
+from pebblepass.daemon.clients import ClientConnection
+from pebblepass.daemon.config import read_config
+from pebblepass.daemon.daemon import Daemon
+from pebblepass.rehearsal.clock import CountedSocket
+from tests.crossings import ADDRESS, Bed, ClientLine, GatedLoop, Peer, PeerLine, asked
+from tests.sockets import FACTS
+
+ROUTERS, CACHES = 3, 8
+TERM_APART_S = 0.9  # between two routers' SIGTERM
+LONGEST_S = 2.0  # the longest deadline of these tests' settings
+KILLED_S = 0.7  # beyond it: SIGKILL comes no sooner
+NEW_CONNECTIONS_S = 0.4  # after SIGTERM, for which new connections go on coming
+LATE_S = 0.5  # beyond its time: an answer that comes later is lost
+SLACK_S = 0.05  # the pages' own on every limit of time
+SERVICE_S = (0.005, 0.04)
+THINKING_S = 0.03  # of a client that has been served, before it asks again
+DEADLINES_MS = (300, 800, 2000)
+RESTING, RESTLESS, NEWCOMERS = 6, 6, 20  # clients of each router; the last come after its SIGTERM
+
+
+class Asked(NamedTuple):
+    """A request that its router's machine has taken."""
+
+    name: str
+    at: float
+    within_s: float
+
+
+class Answered(NamedTuple):
+    """A request and what came for it."""
+
+    request: Asked
+    answer: bytes
+    at: float
+
+    @property
+    def late(self) -> bool:
+        return self.at > self.request.at + self.request.within_s + LATE_S + SLACK_S
+
+    @property
+    def served(self) -> bool:
+        return self.answer == b"value of " + self.request.name.encode()
+
+    @property
+    def foreign(self) -> bool:
+        """Whether it is neither this request's value nor a line that says it was not served."""
+        return not self.served and not self.answer.startswith((b"-BUSY", b"-ERR"))
+
+
+class Client(ClientLine):
+    """A client that notes what it asked and got, and may come again at once."""
+
+    def __init__(self, site: Site, bed: Bed, name: str, comes_again: bool) -> None:
+        super().__init__()
+        self.site, self.bed, self.name, self.comes_again = site, bed, name, comes_again
+        self.waiting: deque[Asked] = deque()
+        self.count = 0
+        self.too_many: list[bytes] = []
+
+    def request(self) -> None:
+        """Ask, if the router's machine takes it still."""
+        if self.transport.is_closing() or not self._is_taken():
+            return
+        self.count += 1
+        draw = self.site.rng
+        name, within_ms = f"{self.name}.{self.count}", draw.choice(DEADLINES_MS)
+        cls = draw.choice(("get", "get", "get", "put", "once"))
+        value = None if cls == "get" else b"v"
+        self.site.classes[name] = cls
+        self.waiting.append(Asked(name, self.bed.loop.time(), within_ms / 1000))
+        self.transport.write(asked(name, cls, within_ms, f"k{draw.randrange(1000)}", value))
+
+    def _is_taken(self) -> bool:
+        """Not where the router has closed it in this very turn: that crossing is the client's."""
+        out = cast(CountedSocket, self.transport.get_extra_info("socket")._sock).outgoing
+        if out is None:
+            return False
+        if out.reader is None:  # it waits to be accepted, or is closed
+            return not out.reset
+        return not any(
+            held.transport.is_closing()
+            for held in self.bed.daemon.clients._connections
+            if held.transport is not None and held.transport.get_extra_info("socket")._sock is out.reader
+        )
+
+    def data_received(self, data: bytes) -> None:
+        known = len(self.answers())
+        super().data_received(data)
+        for answer in self.answers()[known:]:
+            if not self.waiting:
+                self.too_many.append(answer)
+                continue
+            answered = Answered(self.waiting.popleft(), answer, self.bed.loop.time())
+            self.site.answered.append(answered)
+            if self.comes_again:
+                pause = THINKING_S if answered.served else 0.0
+                self.bed.loop.call_later(pause, self.request)
+
+
+@dataclass
+class Site:
+    """The routers and the servers that they share."""
+
+    loop: GatedLoop
+    rng: random.Random
+    caches: dict[str, Peer]
+    origin: Peer
+    beds: list[Bed] = field(default_factory=list)
+    clients: list[Client] = field(default_factory=list)
+    answered: list[Answered] = field(default_factory=list)
+    classes: dict[str, str] = field(default_factory=dict)
+    refused: list[str] = field(default_factory=list)
+    """New connections that were turned away while they go on coming."""
+    outlived: list[int] = field(default_factory=list)
+    """Routers that SIGKILL found alive."""
+
+    async def add_router(self) -> None:
+        told = {
+            "listen": f"{ADDRESS}:1",
+            "discovery": f"{ADDRESS}:2",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "settings": {**FACTS, "balancers": ROUTERS},
+        }
+        daemon = Daemon(self.loop, read_config(told, {}), self.loop.unix_ns)
+        bed = Bed(self.loop, daemon, self.caches, self.origin)
+        await daemon.clients.listen((ADDRESS, 0))
+        listener = daemon.clients._listener
+        assert listener is not None
+        bed.port = listener.sockets[0].getsockname()[1]
+        bed.tell(*self.caches, "origin", whole=True)
+        daemon.host.ready = True
+        self.beds.append(bed)
+
+    async def add_client(self, bed: Bed, name: str, comes_again: bool) -> Client:
+        _, line = await self.loop.create_connection(
+            lambda: Client(self, bed, name, comes_again), ADDRESS, bed.port
+        )
+        self.clients.append(cast(Client, line))
+        return cast(Client, line)
+
+    async def newcomer(self, bed: Bed, name: str, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        try:
+            (await self.add_client(bed, name, True)).request()
+        except ConnectionRefusedError:
+            self.refused.append(name)
+
+    def serve(self, line: PeerLine, name: str) -> None:
+        self.loop.call_later(self.rng.uniform(*SERVICE_S), self._answer, line, name)
+
+    def _answer(self, line: PeerLine, name: str) -> None:
+        if not line.transport.is_closing():
+            line.peer.serve(line, name)
+
+    def hang(self, share: float) -> None:
+        """Others than before say nothing from here on; what came to these stays unanswered."""
+        hanging = self.rng.sample(sorted(self.caches), int(CACHES * share))
+        for name, peer in self.caches.items():
+            peer.came = (lambda line, name: None) if name in hanging else self.serve
+
+    async def end(self, number: int) -> None:
+        """What SIGTERM does to a router, up to SIGKILL."""
+        bed = self.beds[number]
+        task = self.loop.create_task(bed.daemon.drain())
+        arrivals = (self.rng.uniform(0.0, NEW_CONNECTIONS_S) for _ in range(NEWCOMERS))
+        coming = [
+            self.loop.create_task(self.newcomer(bed, f"new{number}.{place}", after_s))
+            for place, after_s in enumerate(arrivals)
+        ]
+        # A resting client asks in some moment of the drain, if its connection is open still.
+        for client in self.clients:
+            if client.bed is bed and not client.comes_again:
+                self.loop.call_later(self.rng.uniform(0.0, LONGEST_S), client.request)
+        await asyncio.wait([task], timeout=LONGEST_S + KILLED_S)
+        if not task.done():
+            self.outlived.append(number)
+            task.cancel()
+        bed.daemon.stop()
+        await asyncio.gather(*coming)
+
+
+async def play(site: Site, hanging_share: float) -> None:
+    for peer in (*site.caches.values(), site.origin):
+        await peer.open()
+        peer.came = site.serve
+    for number in range(ROUTERS):
+        await site.add_router()
+        for place in range(RESTING + RESTLESS):
+            client = await site.add_client(site.beds[number], f"r{number}.{place}", place >= RESTING)
+            client.request()
+    await asyncio.sleep(0.5)
+    ends = []
+    for number in range(ROUTERS):
+        site.hang(hanging_share)
+        ends.append(site.loop.create_task(site.end(number)))
+        await asyncio.sleep(TERM_APART_S)
+    await asyncio.gather(*ends)
+    await site.beds[0].settle()
+
+
+def rolled(hanging_share: float, seed: int) -> Site:
+    """Play it to the end of the last router."""
+
+    async def main() -> Site:
+        loop = cast(GatedLoop, asyncio.get_running_loop())
+        caches = {name: Peer(loop, name) for name in "abcdefgh"[:CACHES]}
+        site = Site(loop, random.Random(seed), caches, Peer(loop, "origin", is_http=True))
+        await play(site, hanging_share)
+        return site
+
+    with asyncio.Runner(loop_factory=GatedLoop) as runner:
+        return runner.run(main())
+
+
+def breaks(site: Site) -> dict[str, list[Any]]:
+    """Everything that the pages forbid, by what it is."""
+    runs = Counter(name for _, name in site.origin.seen if site.classes[name] == "once")
+    found: dict[str, list[Any]] = {
+        "never answered": [each.name for client in site.clients for each in client.waiting],
+        "answered twice": [answer for client in site.clients for answer in client.too_many],
+        "answered with something else": [each for each in site.answered if each.foreign],
+        "answered late": [each for each in site.answered if each.late],
+        "run twice": [name for name, count in runs.items() if count > 1],
+        "refused while new connections come": site.refused,
+        "alive at SIGKILL": site.outlived,
+    }
+    return {what: found for what, found in found.items() if found}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("hanging_share", [0.25, 0.5])
+def test_every_request_taken_by_routers_that_end_one_after_another_is_answered_in_time(
+    hanging_share: float, seed: int
+) -> None:
+    site = rolled(hanging_share, seed)
+    assert breaks(site) == {}
+    assert len(site.answered) > ROUTERS * (RESTING + RESTLESS + NEWCOMERS)
+    assert sum(each.served for each in site.answered) > 0.6 * len(site.answered)
+
+
+async def closes_at_once(daemon: Daemon) -> None:
+    """Broken: accepts nobody from SIGTERM on."""
+    daemon.clients.stop_accepting()
+    daemon.clients.finish(even_midway=False)
+    while daemon.clients.connected:
+        await asyncio.sleep(0.01)
+
+
+async def waits_for_nobody(daemon: Daemon) -> None:
+    """Broken: ends with what is open still unanswered."""
+    await asyncio.sleep(0.5)
+
+
+def no_limit(attempt: Attempt, due: int) -> None:
+    """Broken: an attempt waits for its server for ever."""
+
+
+def no_last_answer(connection: ClientConnection, even_midway: bool) -> None:
+    """Broken: a connection is closed with requests open."""
+    assert connection.transport is not None
+    connection.transport.close()
+
+
+@pytest.mark.parametrize(
+    ("owner", "method", "broken", "what"),
+    [
+        (Daemon, "drain", closes_at_once, "refused while new connections come"),
+        (Daemon, "drain", waits_for_nobody, "never answered"),
+        (Attempt, "wait_until", no_limit, "answered late"),
+        (ClientConnection, "finish", no_last_answer, "never answered"),
+    ],
+)
+def test_routers_that_end_badly_are_caught(
+    owner: type, method: str, broken: Callable[..., Any], what: str
+) -> None:
+    with patch.object(owner, method, broken):
+        assert what in breaks(rolled(0.5, 1))
