Check too that pipelined commands reach the servers with the key and value that were sent

Need: a value that is cut or stripped on its way could still be answered with the right name. Change: tests/daemon/test_pipelined_forms.py notes each request as its server got it. Caught as well: words stripped of line ends at their edges.

--- a/tests/daemon/test_pipelined_forms.py
+++ b/tests/daemon/test_pipelined_forms.py
@@ -14,8 +14,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Any
+from typing import Any, NamedTuple
 from unittest.mock import patch
+from urllib.parse import unquote_to_bytes
 
 import pytest
 
@@ -23,7 +24,7 @@
 from pebblepass.daemon.clients import MAX_PIPELINE, Reply
 from pebblepass.decisions.logic import Node, Request, Router
 from pebblepass.wire.resp import MAX_VALUE, Command, CommandReader, UnknownCommandError, parse_request
-from tests.crossings import Bed, ClientLine, PeerLine, crossing
+from tests.crossings import Bed, ClientLine, Peer, PeerLine, crossing
 from tests.sockets import MISS, bulk, hit, http_answer
 
 COMMANDS = 300
@@ -80,6 +81,8 @@
     name: str
     kind: Kind
     data: bytes
+    key: bytes = b""
+    value: bytes = b""
 
 
 def names_and_values(draw: random.Random, cls: str) -> bytes:
@@ -110,9 +113,9 @@
     key = draw.choice((f"key/{name}", f"npm:@scope/{name}-1.0.tgz", f"schlüssel-{name}")).encode()
     words = [key, name.encode(), names_and_values(draw, CLASSES[kind])]
     if kind is Kind.READ:
-        return Sent(name, kind, bulk(spelled(draw, b"KV.GET"), *words))
+        return Sent(name, kind, bulk(spelled(draw, b"KV.GET"), *words), key)
     value = draw.choice(VALUES) if value is None else value
-    return Sent(name, kind, bulk(spelled(draw, b"KV.SET"), *words, value))
+    return Sent(name, kind, bulk(spelled(draw, b"KV.SET"), *words, value), key, value)
 
 
 def commands(draw: random.Random, long_values: bool) -> list[Sent]:
@@ -125,6 +128,22 @@
     return plan
 
 
+class Got(NamedTuple):
+    """A request as a server got it."""
+
+    name: str
+    at_store: bool
+    data: bytes
+
+    def is_of(self, sent: Sent) -> bool:
+        """Whether key and value are those that the client sent."""
+        if not self.at_store:
+            return self.data.split(b"\r\n")[4] == sent.key
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        target = head.split(b" ", 2)[1]
+        return unquote_to_bytes(target) == b"/" + sent.key and body == sent.value
+
+
 @dataclass
 class Servers:
     """Caches and the store, which answer in every form, and reset connections under requests."""
@@ -136,6 +155,7 @@
     fates: dict[str, Fate] = field(default_factory=dict)
     """What each request's first attempt met, at a cache or for a write at the store."""
     met: set[tuple[str, bool]] = field(default_factory=set)
+    got: list[Got] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         for peer in self.bed.caches.values():
@@ -143,6 +163,19 @@
         self.bed.origin.came = self.store_came
         for peer in (*self.bed.caches.values(), self.bed.origin):
             peer.accepted = lambda line: send_at_once(line.transport)
+            self._note_requests(peer)
+
+    def _note_requests(self, peer: Peer) -> None:
+        whole_cut = peer.cut
+
+        def cut(held: bytes) -> tuple[str, bytes] | None:
+            found = whole_cut(held)
+            if found is not None:
+                name, rest = found
+                self.got.append(Got(name, peer.is_http, held[: len(held) - len(rest)]))
+            return found
+
+        peer.cut = cut  # type: ignore[method-assign]
 
     def cache_came(self, line: PeerLine, name: str) -> None:
         fate = self._fate(line, name, CACHE_FATES)
@@ -285,6 +318,12 @@
             found.append(f"{sent.name}: an unsafe write sent {attempts[sent.name]} times")
         if sent.kind not in REQUESTS and attempts[sent.name]:
             found.append(f"{sent.name}: no request, and sent on")
+    by_name = {sent.name: sent for sent in plan}
+    found += [
+        f"{got.name}: sent on with another key or value"
+        for got in servers.got
+        if not got.is_of(by_name[got.name])
+    ]
     return found + refused_reads(plan, answers, servers)
 
 
@@ -338,6 +377,7 @@
             client.transport.write(data[cut:])
             await bed.wait(0.3)
             assert breaks(plan, client.answers(), servers) == [], cut
+            servers.got.clear()
             for peer in (*bed.caches.values(), bed.origin):
                 peer.seen.clear()
             cut += 1
@@ -362,6 +402,11 @@
     return parse_request(words)
 
 
+def stripped(words: list[bytes]) -> Command:
+    """Broken: line ends at a value's edges are taken for the protocol's."""
+    return parse_request([word.strip() for word in words])
+
+
 FEED = CommandReader.feed
 
 
@@ -388,6 +433,7 @@
     [
         (Reply, "write", as_they_come, 1 << 20, "answered"),
         (clients, "parse_request", upper_case_only, 150, "answered b'-ERR unknown command'"),
+        (clients, "parse_request", stripped, 150, "sent on with another key or value"),
         (CommandReader, "feed", forgetful, 150, "answers to 300 commands"),
         (Request, "may_send", sent_again_whatever_it_is, 150, "an unsafe write sent"),
         (Router, "_may_try", tried_once, 150, "reads whose first attempt broke were refused"),
