--- a/tests/daemon/test_deadline_propagation.py
+++ b/tests/daemon/test_deadline_propagation.py
@@ -340,6 +340,24 @@
     on_site(test)
 
 
+def test_a_second_copy_advertises_what_is_left() -> None:
+    def fate(place: str, key: str, time: int) -> str:
+        return "silent" if key == "slow" and time == 1 else "ok"
+
+    async def test(site: Site) -> None:
+        for number in range(40):
+            client = await site.client()
+            await client.many([f"k{each}" for each in range(20)], request=f"warm{number}")
+        sent_at = site.loop.time()
+        await client.many(["a", "b", "c", "slow"])
+        copies = [each for each in site.advertised if each.request == "q.3"]
+        assert len(copies) == 2
+        assert copies[1].at > copies[0].at
+        assert advertised_too_much(copies, sent_at, 1000) == []
+
+    on_site(test, fate=fate)
+
+
 def test_no_batch_is_sent_past_the_deadline_of_its_command() -> None:
     async def test(site: Site) -> None:
         client = await site.client()
