Wait for the exec itself before SIGHUP is sent at the start

Seen: test_a_sighup_at_any_moment_of_the_start_does_not_end_it failed now and then on a busy machine (connection refused: the process had ended).

Cause: a fault of the test, not of the program. It took the name of the process for the sign that the shell had set its trap and given way to the interpreter; a child bears the name of the Python that started it until its exec is nearly done, so that the SIGHUP could meet the shell before its trap.

Change: the test waits for the command line that the exec leaves. It sends as many signals from the program's first instruction on as before.

--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -145,7 +145,9 @@
     process = started(config, tmp_path)
     try:
         # The shell has to set its trap: from the program's first instruction on a signal may come.
-        eventually(lambda: "python" in Path(f"/proc/{process.pid}/comm").read_text(), "the exec")
+        # The name of the process won't do: a shell that has only just begun still has that of who started it.
+        line = Path(f"/proc/{process.pid}/cmdline")
+        eventually(lambda: line.read_bytes().endswith(b"\0-m\0pebblepass.daemon\0"), "the exec")
 
         def ready() -> bool:
             process.send_signal(signal.SIGHUP)
