Let no SIGHUP kill a router that is ending either

Cause: the same as for SIGTERM: a SIGHUP that meets the interpreter while it tears its modules down ends the process (-1), also where the deploy file's `run` has it ignored at the start: the interpreter resets it to the default, not to what it was.

Checked: the process sends itself SIGHUP at the stated moments of its end; without this change it ends by it while modules are torn down, and by no other moment's.

Change: SIGHUP is ignored once the loop has closed; until then it is taken as before, in the drain too.

--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -168,8 +168,9 @@
             print(f"pebblepass: {error}", file=sys.stderr)
             return 2 if isinstance(error, ConfigError) else 1
     # Danger: the interpreter, as it finalizes, resets the signals that it handles to their default, by which
-    # another SIGTERM kills the process; it leaves alone those that are ignored.
-    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    # another one kills the process; it leaves alone those that are ignored.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return 0
 
 
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -33,8 +33,6 @@
 SIGNAL_ITSELF = """
 import asyncio, atexit, os, signal, sys, types
 
-sigterm, ignored = signal.SIGTERM, signal.SIG_IGN
-
 def reach(moment, chosen=os.environ["MOMENT"], number=int(os.environ["NUMBER"]), sent=os.environ["SENT"],
           is_there=os.path.exists, make=os.mkdir, kill=os.kill, own=os.getpid()):
     if moment == chosen and not is_there(sent):
@@ -58,8 +56,8 @@
 atexit.register(reach, "interpreter exits")
 take = signal.signal
 
-def take_signal(number, handler):
-    ignores = number == sigterm and handler == ignored
+def take_signal(number, handler, awaited=int(os.environ["NUMBER"]), ignored=signal.SIG_IGN):
+    ignores = number == awaited and handler == ignored
     if ignores:
         reach("about to be ignored")
     before = take(number, handler)
@@ -227,9 +225,12 @@
     assert process.returncode == -signal.SIGTERM, log
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 @pytest.mark.parametrize("moment", MOMENTS_OF_THE_END)
-def test_a_second_sigterm_changes_nothing_up_to_the_exit(tmp_path: Path, moment: str) -> None:
-    process, port, sent = started_to_signal_itself(tmp_path, moment, signal.SIGTERM)
+def test_a_signal_changes_nothing_up_to_the_exit_of_a_router_that_ends(
+    tmp_path: Path, moment: str, number: signal.Signals
+) -> None:
+    process, port, sent = started_to_signal_itself(tmp_path, moment, number)
     eventually(lambda: listens(port), "it listens")
     process.send_signal(signal.SIGTERM)
     _, log = process.communicate(timeout=PATIENCE_S)
