Split the decision module into slot table, health, hot keys, suppressor, origin, requests, router

Need: one file of 1,236 lines with ten classes; a reader of one matter had to read all of them. No statement of the program is altered. Imports have no cycle: health, hot_keys, suppressor and origin import interface alone; slot_table imports health; requests imports health and suppressor; router imports all of them.

--- a/benchmarks/cold_starts.py
+++ b/benchmarks/cold_starts.py
@@ -24,8 +24,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from pebblepass.decisions.health import Node
+from pebblepass.decisions.hot_keys import HEAT_MEMORY, HEAT_SHARE, Heat
 from pebblepass.decisions.interface import RequestClass, Server, Settings
-from pebblepass.decisions.logic import HEAT_MEMORY, HEAT_SHARE, SLOTS, Heat, Node, SlotTable
+from pebblepass.decisions.slot_table import SLOTS, SlotTable
 from tests.decisions.cold_starts import ColdRules, Start, heaviest
 
 ROUTERS = (1, 4, 30, 200, 930)
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -34,7 +34,7 @@
 from pebblepass.agreement.leases import Terms
 from pebblepass.agreement.shares import Allocator, Demand, Pool, ShareHolder, allocate
 from pebblepass.decisions.interface import NS_PER_S, PolicyHeld, Tenant
-from pebblepass.decisions.logic import Suppressor
+from pebblepass.decisions.suppressor import Suppressor
 
 TERMS = Terms(6 * NS_PER_S, 0.1)
 VOTERS = 3
--- a/pebblepass/adapter.py
+++ b/pebblepass/adapter.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pebblepass.decisions import interface as api
-from pebblepass.decisions.logic import Router
+from pebblepass.decisions.router import Router
 from pebblepass.decisions.settings import Fields, WireError, choice, read_settings, typed
 
 _OUTCOMES = {
--- a/pebblepass/decisions/__init__.py
+++ b/pebblepass/decisions/__init__.py
@@ -41,7 +41,7 @@
     Tenant,
     TimerFired,
 )
-from pebblepass.decisions.logic import Router
+from pebblepass.decisions.router import Router
 
 __all__ = [
     "Action",
--- a/pebblepass/rehearsal/world.py
+++ b/pebblepass/rehearsal/world.py
@@ -9,8 +9,8 @@
 
 from pebblepass.decisions.interface import NS_PER_S, Settings
 from pebblepass.decisions.interface import Server as ListedServer
-from pebblepass.decisions.logic import SLOTS, SlotTable
 from pebblepass.decisions.settings import read_settings
+from pebblepass.decisions.slot_table import SLOTS, SlotTable
 from pebblepass.rehearsal.plan import STORE_ID, Happening, NodeFacts, Plan, RouterFacts, Streams
 from pebblepass.rehearsal.recovery import Recorder
 from pebblepass.rehearsal.referee import Referee
--- a/pebblepass/scale/decisions.py
+++ b/pebblepass/scale/decisions.py
@@ -50,7 +50,7 @@
     Tenant,
     TimerFired,
 )
-from pebblepass.decisions.logic import DEPTH, SLOTS
+from pebblepass.decisions.slot_table import DEPTH, SLOTS
 from pebblepass.membership.pace import ASKED, PUSHED
 from pebblepass.membership.registry import Clock, read_listing, write_listing
 
--- a/tests/decisions/test_cold_servers.py
+++ b/tests/decisions/test_cold_servers.py
@@ -10,9 +10,10 @@
 import pytest
 
 from pebblepass.decisions import ListKind, Outcome, Router, Server, ServersChanged, Settings
+from pebblepass.decisions.health import Node
 from pebblepass.decisions.interface import KeysArrived, SendKeys
-from pebblepass.decisions.logic import SLOTS, Node, SlotTable
 from pebblepass.decisions.settings import read_settings
+from pebblepass.decisions.slot_table import SLOTS, SlotTable
 from tests.decisions.cases import MS, ORIGIN, S, ended, fleet, only_send, request, settings, started
 from tests.decisions.cold_starts import ColdRules, Start, heaviest
 
--- a/tests/decisions/test_commands.py
+++ b/tests/decisions/test_commands.py
@@ -16,7 +16,7 @@
     SendKeys,
     Settings,
 )
-from pebblepass.decisions.logic import COMMAND_FETCHES
+from pebblepass.decisions.router import COMMAND_FETCHES
 from tests.decisions.cases import (
     MS,
     ORIGIN,
--- a/tests/decisions/test_haste.py
+++ b/tests/decisions/test_haste.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pebblepass.decisions import AttemptEnded, Outcome, Reason, Refuse, Router
-from pebblepass.decisions.logic import Odds
+from pebblepass.decisions.health import Odds
 from tests.decisions.cases import (
     MS,
     S,
--- a/tests/decisions/test_keys.py
+++ b/tests/decisions/test_keys.py
@@ -23,7 +23,7 @@
     ServerState,
     Settings,
 )
-from pebblepass.decisions.logic import PASS_CUT
+from pebblepass.decisions.health import PASS_CUT
 from tests.decisions.cases import MS, S, ended, fleet, request, settings, started
 
 KEYS = [f"pkg/{number}" for number in range(200)]
--- a/tests/decisions/test_outage.py
+++ b/tests/decisions/test_outage.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pebblepass.decisions import Action, Event, Outcome, Router, Send, SetTimer, TimerFired
-from pebblepass.decisions.logic import Outage, Store
+from pebblepass.decisions.origin import Outage, Store
 from tests.decisions.cases import MS, ORIGIN, S, Timeline, ended, fleet, request, settings, started
 
 CUT_S = 6
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -23,7 +23,7 @@
     Tenant,
     TimerFired,
 )
-from pebblepass.decisions.logic import CUT
+from pebblepass.decisions.suppressor import CUT
 from tests.decisions.cases import (
     MS,
     ORIGIN,
--- a/tests/decisions/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from pebblepass.decisions.interface import Server
-from pebblepass.decisions.logic import DEPTH, SLOTS, SlotTable
+from pebblepass.decisions.slot_table import DEPTH, SLOTS, SlotTable
 from tests.decisions.cases import S, fleet, settings
 
 COLD = {"cold_share": 0.25, "cold_time": 10 * S}
--- a/tests/decisions/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pebblepass.decisions.interface import Tenant
-from pebblepass.decisions.logic import CUT, RISE_S, Suppressor
+from pebblepass.decisions.suppressor import CUT, RISE_S, Suppressor
 from tests.decisions.cases import MS, S
 
 
--- a/tests/decisions/test_window.py
+++ b/tests/decisions/test_window.py
@@ -21,7 +21,7 @@
     SetTimer,
     TimerFired,
 )
-from pebblepass.decisions.logic import LINE, NARROWED, QUICK_SHARE, SLOW_FETCH_SHARE
+from pebblepass.decisions.router import LINE, NARROWED, QUICK_SHARE, SLOW_FETCH_SHARE
 from tests.decisions.cases import (
     MS,
     ORIGIN,
