Name the health of servers in the field's terms, with units in its docstrings

Need: Pace, Odds, sound, unheard and the like had to be explained; docstrings spoke of danger and news. Change: LatencyEstimate, AttemptHistory, send_probability, record_outcome, healthy, consecutive_unanswered, export_state and import_state; the constants of recovery bear their unit. Private names of decisions/ and their tests alone; behaviour unchanged.

--- a/pebblepass/decisions/health.py
+++ b/pebblepass/decisions/health.py
@@ -1,4 +1,7 @@
-"""Health of cache servers: smoothed latency, time-out odds, and the chance to be sent a request."""
+"""Health of servers as this router observes it: latency, time-outs, and a send probability.
+
+All times are whole nanoseconds on the caller's clock.
+"""
 
 from __future__ import annotations
 
@@ -9,153 +12,171 @@
 from pebblepass.decisions import interface as api
 from pebblepass.decisions.interface import NS_PER_S, Outcome
 
-# A server's chance to be sent to: what an attempt tells of it, and how long that holds.
-PASS_CUT, PASS_RISE = 0.25, 0.2  # a late answer cuts it to this share, a good one raises it by that
-PASS_FLOOR = 0.05  # the least chance of one that is up
-DEAD = -0.02  # the chance of one that could not be reached: none, until it is regained by the clock
-# A queue that made one answer late is gone within two seconds, by whoever asked; a server that turns away or
-# is silent stays so for longer; a dead one is news for discovery. By the clock and not by this router's own
-# answers: one that asks a server once in three seconds would go on refusing for half a minute what forty
-# like it could have had served.
-REGAIN_LATE, REGAIN_SILENT, REGAIN_DEAD = 2 * NS_PER_S, 8 * NS_PER_S, 60 * NS_PER_S
-HOLD_SILENT = 4 * NS_PER_S  # before that begins: of the requests in these seconds half go unanswered too
-NO_ROOM, NO_ROOM_DOUBLED = NS_PER_S, 4  # the first pause after one had no place for a connection; doublings
-ODDS_ATTEMPTS, EVEN = 32, 0.5  # attempts that the odds of an answer are told by; below these none is sent
-
-
-class Pace:
-    """How long answers take: their smoothed time, and its smoothed deviation."""
-
-    def __init__(self, usual: float = 0.0) -> None:
-        self.usual = self.spread = usual
-        self.sampled = 0.0  # how much of it comes from answers, the rest from where it began
-
-    def learn(self, latency: int) -> None:
-        """Take one answer's time into account."""
-        off = latency - self.usual
-        self.usual += off / 16
-        self.spread += (abs(off) - self.spread) / 16
-        self.sampled += (1 - self.sampled) / 16
-
-    def expected(self, others: float) -> float:
-        """The time to expect where this one began at 0: for what no answer has told, that of `others`.
-
-        Danger: by its own few answers alone a server that has just come would look quicker than any.
+# A server's send probability: how an attempt's outcome changes it, and how long it takes to recover.
+LATE_DECREASE, SUCCESS_INCREASE = 0.25, 0.2  # factor for a late answer; added by one in time
+MIN_PROBABILITY = 0.05  # of a server that can be reached
+UNREACHABLE_PROBABILITY = -0.02  # below 0: none, until the clock has restored it
+# A queue that made one answer late has drained within two seconds, whoever sent the requests; a server that
+# rejects or does not answer stays so for longer; an unreachable one is for discovery to remove. Recovery is
+# by the clock, not by this router's own answers: a router that asks a server once in three seconds would go
+# on refusing for half a minute what forty like it could have had served.
+LATE_RECOVERY_NS, OVERLOAD_RECOVERY_NS, UNREACHABLE_RECOVERY_NS = 2 * NS_PER_S, 8 * NS_PER_S, 60 * NS_PER_S
+TIMEOUT_HOLD_NS = 4 * NS_PER_S  # before recovery begins: half of the requests in this time go unanswered too
+CONNECT_BACKOFF_NS, MAX_CONNECT_DOUBLINGS = NS_PER_S, 4  # first pause after a rejected connection; doublings
+HISTORY_SIZE = 32  # attempts kept in an AttemptHistory
+SMOOTHING = 16  # samples over which latencies are averaged
+
+
+class LatencyEstimate:
+    """Exponentially weighted moving average of latencies in nanoseconds, and of their absolute deviation."""
+
+    def __init__(self, initial: float = 0.0) -> None:
+        self.mean = self.deviation = initial
+        self.sample_weight = (
+            0.0  # fraction of the mean that comes from samples; the rest is the initial value
+        )
+
+    def record(self, latency: int) -> None:
+        """Add one sample."""
+        difference = latency - self.mean
+        self.mean += difference / SMOOTHING
+        self.deviation += (abs(difference) - self.deviation) / SMOOTHING
+        self.sample_weight += (1 - self.sample_weight) / SMOOTHING
+
+    def expected(self, prior: float) -> float:
+        """Return the latency to expect if the estimate began at 0: `prior` stands in for missing samples.
+
+        Without the prior a server that has just joined would look faster than any other.
         """
-        return self.usual + (1 - self.sampled) * others
+        return self.mean + (1 - self.sample_weight) * prior
 
 
-class Odds:
-    """How likely a server is to answer within some time, by what the last attempts at any of them took."""
+class AttemptHistory:
+    """The last attempts at any server, to estimate the probability of an answer within some time."""
 
     def __init__(self) -> None:
-        self._took: deque[tuple[int, bool]] = deque(maxlen=ODDS_ATTEMPTS)
+        self._attempts: deque[tuple[int, bool]] = deque(maxlen=HISTORY_SIZE)
 
-    def learn(self, took: int, answered: bool) -> None:
-        """Take one attempt into account; one without an answer has been waited for so long."""
-        self._took.append((took, answered))
+    def record(self, duration: int, answered: bool) -> None:
+        """Add one attempt; without an answer, `duration` is how long it was waited for."""
+        self._attempts.append((duration, answered))
 
-    def within(self, time: int) -> float:
-        """The share answered so soon, of the attempts that tell; 1 where none does."""
-        soon = sum(1 for took, answered in self._took if answered and took <= time)
-        told = sum(1 for took, answered in self._took if answered or took >= time)
-        return (soon + 1) / (told + 1)
+    def answer_probability(self, time: int) -> float:
+        """Estimate the probability of an answer within `time`; 1 without evidence.
+
+        An attempt that was abandoned earlier than `time` is no evidence and is left out.
+        """
+        in_time = sum(1 for duration, answered in self._attempts if answered and duration <= time)
+        conclusive = sum(1 for duration, answered in self._attempts if answered or duration >= time)
+        return (in_time + 1) / (conclusive + 1)
 
 
 class Node:
-    """A ready server as this router sees it: own attempts out, and health as the chance to be sent to."""
+    """A ready server: this router's outstanding attempts at it, and its health."""
 
     def __init__(self, entry: api.Server, weighted: bool) -> None:
-        self.entry, self.load = entry, 0
+        self.entry, self.load = entry, 0  # load: attempts outstanding
         self.weight = entry.weight if weighted else 1.0
-        self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
-        self.down = False
-        self.unheard = self.heard_at = 0
-        self.pace = Pace()
-        self._chance, self._judged_at, self._regain = 1.0, 0, REGAIN_LATE
-        self._crowded, self._room_at = 0, 0
-        self.unanswered_at = -HOLD_SILENT
+        self.hash_seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
+        self.unreachable = False
+        self.consecutive_unanswered = self.last_outcome_at = 0
+        self.latency = LatencyEstimate()
+        self._probability, self._recovers_from, self._recovery_time = 1.0, 0, LATE_RECOVERY_NS
+        self._connect_rejections, self._next_connect_at = 0, 0
+        self.unanswered_at = -TIMEOUT_HOLD_NS
         """When its last attempt ended, if that was without an answer, however short its time was."""
 
-    def chance(self, now: int) -> float:
-        """Return the chance to be sent to; it is regained by the time since it was judged.
+    def send_probability(self, now: int) -> float:
+        """Return the probability with which a request is sent here; it recovers linearly with time.
 
-        Danger: by the clock alone a machine that has been up for a minute would hold nothing against anyone.
+        The time counts from the last outcome: the zero of the clock may lie any time back.
         """
-        if self._chance >= 1.0:
+        if self._probability >= 1.0:
             return 1.0
-        return min(1.0, self._chance + max(now - self._judged_at, 0) / self._regain)
+        return min(1.0, self._probability + max(now - self._recovers_from, 0) / self._recovery_time)
 
     @property
-    def sound(self) -> bool:
-        """Whether nothing is held against it."""
-        return self._chance >= 1.0 and not self._crowded
+    def healthy(self) -> bool:
+        """Whether no failure is on record: full send probability, and no rejected connection."""
+        return self._probability >= 1.0 and not self._connect_rejections
 
     def avoided(self, now: int) -> bool:
-        """Whether it is down, or has no more than the least chance of one that is up."""
-        return (self.down and self.chance(now) < 1.0) or self.chance(now) <= PASS_FLOOR
+        """Whether it is unreachable, or has no more than the least probability."""
+        probability = self.send_probability(now)
+        return (self.unreachable and probability < 1.0) or probability <= MIN_PROBABILITY
 
-    def has_room(self, now: int) -> bool:
-        """Whether it may be asked for a connection again."""
-        return now >= self._room_at
+    def may_connect(self, now: int) -> bool:
+        """Whether the back-off after a rejected connection is over."""
+        return now >= self._next_connect_at
 
-    def crowded(self, now: int, rng: random.Random) -> None:
-        """It takes no more connections: ask elsewhere, and here again after a growing pause.
+    def record_connect_rejection(self, now: int, rng: random.Random) -> None:
+        """The server accepts no more connections: back off exponentially, with jitter.
 
-        The pauses bound the dials of many routers at one full server; the draws keep them apart.
+        The pauses bound the dials of many routers at one full server; jitter keeps them apart.
         """
-        self._room_at = now + int(rng.uniform(0.5, 1.0) * (NO_ROOM << self._crowded))
-        self._crowded = min(self._crowded + 1, NO_ROOM_DOUBLED)
-
-    def judge(self, outcome: Outcome, late: bool, now: int) -> None:
-        """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
-        chance, hold = self.chance(now), 0
-        self.heard_at = now
-        self.unheard = self.unheard + 1 if outcome in (Outcome.TIMEOUT, Outcome.RESET) else 0
-        if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and self.unheard > 1):
-            chance, self.down, self._regain = DEAD, True, REGAIN_DEAD
-        elif late or outcome is Outcome.FULL or self.unheard > 1:
-            answered = outcome in (Outcome.OK, Outcome.MISS)
-            silent = outcome is Outcome.TIMEOUT
-            chance = PASS_FLOOR if silent else max(chance * PASS_CUT, PASS_FLOOR)
-            self._regain = REGAIN_LATE if answered else REGAIN_SILENT
-            hold = HOLD_SILENT if silent else 0
-        elif outcome in (Outcome.OK, Outcome.MISS):
-            chance, self.down = min(1.0, chance + PASS_RISE), False
-            self._crowded = self._room_at = 0
-        self._chance, self._judged_at = chance, now + hold
-
-    def known(self) -> api.NodeKnown:
-        """What is held of it, for another router."""
+        self._next_connect_at = now + int(
+            rng.uniform(0.5, 1.0) * (CONNECT_BACKOFF_NS << self._connect_rejections)
+        )
+        self._connect_rejections = min(self._connect_rejections + 1, MAX_CONNECT_DOUBLINGS)
+
+    def record_outcome(self, outcome: Outcome, late: bool, now: int) -> None:
+        """Update the health by an attempt's outcome; an error in time changes nothing."""
+        probability, hold = self.send_probability(now), 0
+        answered = outcome in (Outcome.OK, Outcome.MISS)
+        lost = outcome in (Outcome.TIMEOUT, Outcome.RESET)
+        self.last_outcome_at = now
+        self.consecutive_unanswered = self.consecutive_unanswered + 1 if lost else 0
+        repeated = self.consecutive_unanswered > 1
+        if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and repeated):
+            probability, self.unreachable = UNREACHABLE_PROBABILITY, True
+            self._recovery_time = UNREACHABLE_RECOVERY_NS
+        elif late or outcome is Outcome.FULL or repeated:
+            timed_out = outcome is Outcome.TIMEOUT
+            probability = MIN_PROBABILITY if timed_out else max(probability * LATE_DECREASE, MIN_PROBABILITY)
+            self._recovery_time = LATE_RECOVERY_NS if answered else OVERLOAD_RECOVERY_NS
+            hold = TIMEOUT_HOLD_NS if timed_out else 0
+        elif answered:
+            probability, self.unreachable = min(1.0, probability + SUCCESS_INCREASE), False
+            self._connect_rejections = self._next_connect_at = 0
+        self._probability, self._recovers_from = probability, now + hold
+
+    def export_state(self) -> api.NodeKnown:
+        """Return the health on record, for another router."""
         return api.NodeKnown(
             self.entry.id,
             self.entry.started,
-            self.heard_at,
+            self.last_outcome_at,
             1.0,
-            self._chance,
-            self._judged_at,
-            self._regain,
-            self.down,
-            self.unheard,
-            self._crowded,
-            self._room_at,
-            self.pace.usual,
-            self.pace.spread,
-            self.pace.sampled,
+            self._probability,
+            self._recovers_from,
+            self._recovery_time,
+            self.unreachable,
+            self.consecutive_unanswered,
+            self._connect_rejections,
+            self._next_connect_at,
+            self.latency.mean,
+            self.latency.deviation,
+            self.latency.sample_weight,
         )
 
-    def learn(self, known: api.NodeKnown) -> None:
-        """Take over what another router holds of it; times of answers count by their weight, as 0 is none."""
-        # Danger: a server that has started since has lost its queue and its faults, and is cold.
-        if known.started != self.entry.started or known.heard_at <= self.heard_at:
+    def import_state(self, known: api.NodeKnown) -> None:
+        """Take over another router's record if it is newer than the own; latencies count by its weight."""
+        # A server that has started since has lost its queue and its faults, and its cache is cold.
+        if known.started != self.entry.started or known.heard_at <= self.last_outcome_at:
             return
-        self.heard_at, self.down, self.unheard = known.heard_at, known.down, known.unheard
-        self._chance, self._judged_at, self._regain = known.chance, known.judged_at, known.regain
-        self._crowded, self._room_at = known.crowded, known.room_at
-        self.pace.usual, self.pace.spread = known.usual * known.weight, known.spread * known.weight
-        self.pace.sampled = known.sampled * known.weight
+        self.last_outcome_at, self.unreachable = known.heard_at, known.down
+        self.consecutive_unanswered = known.unheard
+        self._probability, self._recovers_from = known.chance, known.judged_at
+        self._recovery_time = known.regain
+        self._connect_rejections, self._next_connect_at = known.crowded, known.room_at
+        self.latency.mean = known.usual * known.weight
+        self.latency.deviation = known.spread * known.weight
+        self.latency.sample_weight = known.sampled * known.weight
+
 
+def is_connection_failure(event: api.AttemptEnded, late: bool) -> bool:
+    """Whether an outcome concerns its connection alone, and not the server.
 
-def of_connection(event: api.AttemptEnded, late: bool) -> bool:
-    """Whether this tells of its connection alone; one that did not come up does however long that took."""
+    A connection that could not be set up does so however long that took; any other only if it was not late.
+    """
     return event.stale and (event.outcome is Outcome.CONNECT_FAILED or not late)
--- a/pebblepass/decisions/origin.py
+++ b/pebblepass/decisions/origin.py
@@ -15,8 +15,8 @@
     width: float
     window: float
     bad: float
-    usual: float
-    spread: float
+    mean: float
+    deviation: float
     limits: dict[str, float]
 
 
--- a/pebblepass/decisions/router.py
+++ b/pebblepass/decisions/router.py
@@ -13,7 +13,14 @@
 from zlib import crc32
 
 from pebblepass.decisions import interface as api
-from pebblepass.decisions.health import EVEN, HOLD_SILENT, PASS_FLOOR, Node, Odds, Pace, of_connection
+from pebblepass.decisions.health import (
+    MIN_PROBABILITY,
+    TIMEOUT_HOLD_NS,
+    AttemptHistory,
+    LatencyEstimate,
+    Node,
+    is_connection_failure,
+)
 from pebblepass.decisions.hot_keys import HEAT_SHARE, Heat
 from pebblepass.decisions.interface import NS_PER_S, Effect, ListKind, Outcome, Reason, ServerState
 from pebblepass.decisions.origin import Outage, Store
@@ -26,6 +33,7 @@
 # An attempt's time: when it counts as lost, and when there is too little of it to begin.
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_FLOOR, PATIENCE_SHARE = 0.125, 0.95  # of the aim: the least and the most patience
+MIN_ANSWER_PROBABILITY = 0.5  # within the time left: below it no attempt is made
 SLOW_SHARE = 0.8  # of the aim: servers that usually take so long are waited for to the end
 
 # Fetches out at the origin.
@@ -61,8 +69,11 @@
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._outage = Outage()  # of the way to the origin
-        self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
-        self._odds = Odds()  # of the caches' answers
+        self._answers, self._fetches = (
+            LatencyEstimate(aim),
+            LatencyEstimate(aim / 2),
+        )  # of the caches; good ones of the origin
+        self._odds = AttemptHistory()  # of the caches' answers
         self._asking, self._failed_calls = False, 0
         self._lag = 0  # how late this router's own loop runs
         self._policy: api.PolicyHeld | None = None
@@ -125,9 +136,9 @@
         """What this router has learned, for one that begins beside it."""
         nodes = self._caches.nodes.values()  # of the origin nothing is held by node
         fetches, answers = self._fetches, self._answers
-        store = (fetches.usual, fetches.spread, answers.usual, answers.spread)
+        store = (fetches.mean, fetches.deviation, answers.mean, answers.deviation)
         return api.Knowledge(
-            tuple(node.known() for node in nodes if node.heard_at),
+            tuple(node.export_state() for node in nodes if node.last_outcome_at),
             tuple(guard.known(name, now) for name, guard in self._guards.items()),
             api.StoreKnown(self._window, self._width, self._origin_bad, *store),
             tuple((slot, count) for slot, count in self._heat.hottest() if isinstance(slot, int)),
@@ -137,7 +148,7 @@
     def _learn(self, known: api.Knowledge) -> None:
         for node in known.nodes:
             if node.server in self._caches.nodes:
-                self._caches.nodes[node.server].learn(node)
+                self._caches.nodes[node.server].import_state(node)
         for limit in known.limits:
             if limit.tenant in self._guards:
                 self._guards[limit.tenant].learn(limit, known.weight)
@@ -145,12 +156,12 @@
         self._usage.learn(known.usage, known.weight)
         store, weight = known.store, known.weight
         self._origin_bad += (store.bad - self._origin_bad) * weight
-        for pace, usual, spread in (
+        for pace, mean, deviation in (
             (self._fetches, store.fetch_usual, store.fetch_spread),
             (self._answers, store.answer_usual, store.answer_spread),
         ):
-            pace.usual += (usual - pace.usual) * weight
-            pace.spread += (spread - pace.spread) * weight
+            pace.mean += (mean - pace.mean) * weight
+            pace.deviation += (deviation - pace.deviation) * weight
         if weight > 0:  # what is infinite here is not known: in parts it would be no less
             self._window, self._width = (
                 min(mine, max(told, 1.0) / weight)
@@ -163,7 +174,7 @@
         One that was late now and then is not among them: it is asked less for a second or two.
         """
         nodes = self._caches.nodes.items()
-        return [name for name, node in nodes if node.avoided(now) or not node.has_room(now)]
+        return [name for name, node in nodes if node.avoided(now) or not node.may_connect(now)]
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
@@ -280,7 +291,7 @@
             held = settled.get(slot) if request.share <= cold else None
             ranking = held or self._candidates(request)
             # The plain case of _route: the first choice is sound, and there is time left.
-            if not ranking or not ranking[0].sound or in_haste:
+            if not ranking or not ranking[0].healthy or in_haste:
                 self._route(request)
                 continue
             node = ranking[0]
@@ -307,11 +318,11 @@
                 del self._commands[command.name]
             if node is not judged:  # one event, one judgement
                 judged, late = node, event.latency > request.cls.aim
-                node.judge(Outcome.OK, late, self._now)
-                node.unanswered_at = -HOLD_SILENT
-                self._odds.learn(event.latency, answered=True)
-                node.pace.learn(event.latency)
-                self._answers.learn(event.latency)
+                node.record_outcome(Outcome.OK, late, self._now)
+                node.unanswered_at = -TIMEOUT_HOLD_NS
+                self._odds.record(event.latency, answered=True)
+                node.latency.record(event.latency)
+                self._answers.record(event.latency)
 
     def _send(self, request: Request, node: Node) -> None:
         request.sends += 1
@@ -320,21 +331,21 @@
         patience = self._patience(request, node)
         self._actions.append(api.Send(request.id, node.entry.id, patience, request.repeat_until()))
 
-    def _usual(self, known: Pace, node: Node) -> tuple[float, float]:
-        """The usual time of a server's answers and its spread: its own where they are longer than all's."""
-        pace = node.pace
-        usual = pace.usual if pace.usual > known.usual else known.usual
-        return usual, pace.spread if pace.spread > known.spread else known.spread
+    def _latency(self, overall: LatencyEstimate, node: Node) -> tuple[float, float]:
+        """Mean latency and deviation of a server: the greater of its own and those of all servers."""
+        own = node.latency
+        mean = own.mean if own.mean > overall.mean else overall.mean
+        return mean, own.deviation if own.deviation > overall.deviation else overall.deviation
 
     def _patience(self, request: Request, node: Node) -> int:
         aim = request.cls.aim
-        usual, spread = self._usual(self._fetches if request.fetching else self._answers, node)
-        slow = usual + spread * SPREADS / 2 > aim * SLOW_SHARE
+        mean, deviation = self._latency(self._fetches if request.fetching else self._answers, node)
+        slow = mean + deviation * SPREADS / 2 > aim * SLOW_SHARE
         first = not request.refetching if request.fetching else request.sends == 1
         if slow or not first or not request.may_repeat():
             return 0
         # Guards quick servers: six spreads of theirs are less than a hiccup, above all one of this router.
-        enough = max(usual + spread * SPREADS, aim * PATIENCE_FLOOR) + self._lag
+        enough = max(mean + deviation * SPREADS, aim * PATIENCE_FLOOR) + self._lag
         return int(min(enough, aim * PATIENCE_SHARE))
 
     def _may_try(self, request: Request) -> bool:
@@ -349,9 +360,11 @@
             return
         shed = False
         for node in self._candidates(request):
-            if node in request.failed or not (node.has_room(self._now) and request.may_send(node, self._now)):
+            if node in request.failed or not (
+                node.may_connect(self._now) and request.may_send(node, self._now)
+            ):
                 continue
-            chance = node.chance(self._now)
+            chance = node.send_probability(self._now)
             # Tenants over their portion are shed first, those well within it last.
             if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.guard.excess):
                 if self._hopeless(request, node):
@@ -359,7 +372,7 @@
                 else:
                     self._send(request, node)
                 return
-            if not node.down:
+            if not node.unreachable:
                 again, shed = shed, True
                 if again or not self._store_at_ease(request):
                     break
@@ -378,15 +391,17 @@
         left = request.deadline - self._now
         if left >= request.cls.aim or request.sends or request.write:
             return False
-        missed = node.unanswered_at > self._now - HOLD_SILENT
-        return (missed or self._odds.within(left) < EVEN) and self._rng.random() >= PASS_FLOOR
+        missed = node.unanswered_at > self._now - TIMEOUT_HOLD_NS
+        return (
+            missed or self._odds.answer_probability(left) < MIN_ANSWER_PROBABILITY
+        ) and self._rng.random() >= MIN_PROBABILITY
 
     def _store_at_ease(self, request: Request) -> bool:
         """Whether the origin answers well within the aim, and nobody is refused or waits for it."""
         guard = request.guard
         return (
             guard.declined <= EASE_SHARE * guard.accepted(self._now)
-            and self._fetches.usual < request.cls.aim * QUICK_SHARE
+            and self._fetches.mean < request.cls.aim * QUICK_SHARE
             and not self._line
         )
 
@@ -419,7 +434,7 @@
         The own requests out tell nothing of a server's speed, nor of other routers' load on it: its times do.
         """
         weight = node.weight * self._caches.warmth(node, self._now)
-        expected = node.pace.expected(self._answers.usual)
+        expected = node.latency.expected(self._answers.mean)
         return (node.load + 1) * expected / weight * self._rng.uniform(1 - APART, 1.0)
 
     def _missed(self, request: Request) -> None:
@@ -458,8 +473,8 @@
             return
         for node in self._candidates(request):
             # Only a sound and warm server: a copy is a luxury.
-            sound = node.chance(self._now) >= 1.0 and self._caches.warmth(node, self._now) >= 1.0
-            sound = sound and node.has_room(self._now)
+            sound = node.send_probability(self._now) >= 1.0 and self._caches.warmth(node, self._now) >= 1.0
+            sound = sound and node.may_connect(self._now)
             if node is not request.node and node not in request.failed and sound and self._may_try(request):
                 request.sends += 1
                 request.twin = node
@@ -535,7 +550,7 @@
         In a line that is full the key that fewest wait for makes room.
         """
         left = min(request.deadline - self._now, int(request.cls.aim * SLOW_FETCH_SHARE))
-        left -= int(self._fetches.usual)
+        left -= int(self._fetches.mean)
         if len(self._line) >= LINE * self._window:
             least = min(self._line, key=self._asked_for)
             if left > 0 and not self._asked_for(least):
@@ -581,15 +596,15 @@
         # A kept connection that breaks says nothing of its server: nobody is judged by it, or asked less.
         answered = event.outcome in (Outcome.OK, Outcome.MISS)
         if answered or (event.outcome is Outcome.TIMEOUT and not event.stale):
-            self._odds.learn(event.latency, answered)
-            node.unanswered_at = -HOLD_SILENT if answered else self._now
+            self._odds.record(event.latency, answered)
+            node.unanswered_at = -TIMEOUT_HOLD_NS if answered else self._now
         if event.crowded:
-            node.crowded(self._now, self._rng)
-        elif not of_connection(event, late) and (late or not self._too_short(request, node, event)):
-            node.judge(event.outcome, late, self._now)
+            node.record_connect_rejection(self._now, self._rng)
+        elif not is_connection_failure(event, late) and (late or not self._too_short(request, node, event)):
+            node.record_outcome(event.outcome, late, self._now)
             if answered:
-                node.pace.learn(event.latency)
-                self._answers.learn(event.latency)
+                node.latency.record(event.latency)
+                self._answers.record(event.latency)
 
     def _too_short(self, request: Request, node: Node, event: api.AttemptEnded) -> bool:
         """Whether a client's time was up before the server's answer could be missed.
@@ -598,15 +613,15 @@
         """
         if event.outcome is not Outcome.TIMEOUT or self._now < request.deadline:
             return False
-        usual, spread = self._usual(self._answers, node)
-        return event.latency < usual + spread * SPREADS / 2
+        mean, deviation = self._latency(self._answers, node)
+        return event.latency < mean + deviation * SPREADS / 2
 
     def _first_ended(self, request: Request, node: Node, event: api.AttemptEnded) -> None:
         fetched, outcome = request.fetching, event.outcome
         request.out = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
-        stale = of_connection(event, late)
+        stale = is_connection_failure(event, late)
         if fetched:
             self._judge_fetch(node, event, late, request.cls.aim)
         else:
@@ -622,9 +637,8 @@
         elif fetched:
             self._fetch_failed(request, outcome, late, stale)
         else:
-            if (
-                outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
-            ):  # else it is asked once more
+            lost = outcome in (Outcome.TIMEOUT, Outcome.RESET)
+            if not lost or late or node.consecutive_unanswered > 1:  # else it is asked once more
                 request.failed.append(node)
             if request.twin is None:  # else that one's end decides
                 self._route(request)
@@ -639,21 +653,21 @@
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool, aim: int) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
         self._watch_outage(event, late, aim)
-        mute = of_connection(event, late)
+        mute = is_connection_failure(event, late)
         if event.latency > aim * SLOW_FETCH_SHARE and not mute:
             # An answer that waited behind this router's own fetches is met by fewer of them, and no sign of
             # trouble while there can be fewer.
             late = late and (event.outcome is not Outcome.OK or self._window <= 1.0)
-            if self._now - self._narrowed_at >= self._fetches.usual:
+            if self._now - self._narrowed_at >= self._fetches.mean:
                 self._narrowed_at = self._now
                 self._window = max(1.0, min(self._window, node.load + 1) * NARROWED)
         elif event.latency <= aim * QUICK_SHARE and event.outcome is Outcome.OK:
             self._window += 1 / self._window
         if event.outcome is Outcome.TIMEOUT:
-            self._fetches.learn(event.latency)
+            self._fetches.record(event.latency)
         if event.outcome in (Outcome.OK, Outcome.MISS) and not late:
             self._origin_bad -= self._origin_bad / BAD_SAMPLES
-            self._fetches.learn(event.latency)
+            self._fetches.record(event.latency)
             self._width += 1 / self._width
             for guard in self._guards.values():
                 guard.rise(self._now)
@@ -661,7 +675,7 @@
             # A time-out that is not late had too little time left: not the origin's fault.
             self._origin_bad += (1 - self._origin_bad) / BAD_SAMPLES
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
-            if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.usual:
+            if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.mean:
                 self._last_cut = self._now
                 self._width = max(1.0, min(self._width, node.load + 1) * CUT)
                 for guard in self._guards.values():  # the origin is shared: it speaks for all
@@ -680,14 +694,14 @@
             # A time-out that is not late had too little time left, and tells nothing.
             if not event.stale and (late or event.outcome is not Outcome.TIMEOUT):
                 limits = {name: guard.limit for name, guard in self._guards.items()}
-                pace = self._fetches.usual, self._fetches.spread
+                pace = self._fetches.mean, self._fetches.deviation
                 self._outage.unanswered(Store(self._width, self._window, self._origin_bad, *pace, limits))
         elif event.outcome in (Outcome.OK, Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             good = event.outcome in (Outcome.OK, Outcome.MISS)
             before = self._outage.answered(good and event.latency <= aim * QUICK_SHARE)
             if before is not None:
                 self._width, self._window, self._origin_bad = before.width, before.window, before.bad
-                self._fetches.usual, self._fetches.spread = before.usual, before.spread
+                self._fetches.mean, self._fetches.deviation = before.mean, before.deviation
                 for name, guard in self._guards.items():
                     guard.limit = max(guard.limit, before.limits[name])
 
@@ -700,7 +714,7 @@
             request.refetching = True
             self._fetch(request)
             return
-        pause = int(self._fetches.usual * self._rng.uniform(0.5, 1.5))
+        pause = int(self._fetches.mean * self._rng.uniform(0.5, 1.5))
         if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
             self._wait(request, pause)
         else:
--- a/pebblepass/decisions/slot_table.py
+++ b/pebblepass/decisions/slot_table.py
@@ -47,7 +47,7 @@
         self.cold_until = newest + self._settings.cold_time
 
     def _score(self, slot: int, node: Node) -> float:
-        mixed = (node.seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
+        mixed = (node.hash_seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
         mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & WORD
         return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
 
--- a/tests/decisions/test_haste.py
+++ b/tests/decisions/test_haste.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pebblepass.decisions import AttemptEnded, Outcome, Reason, Refuse, Router
-from pebblepass.decisions.health import Odds
+from pebblepass.decisions.health import AttemptHistory
 from tests.decisions.cases import (
     MS,
     S,
@@ -143,23 +143,25 @@
 
 
 def test_odds_count_what_was_waited_for_as_long_and_leave_the_rest_out() -> None:
-    odds = Odds()
-    assert odds.within(50 * MS) == 1.0  # nothing tells
+    odds = AttemptHistory()
+    assert odds.answer_probability(50 * MS) == 1.0  # nothing tells
     for took, answered in ((30, True), (60, True), (40, False), (60, False)):
-        odds.learn(took * MS, answered)
-    assert odds.within(50 * MS) == pytest.approx(2 / 4)  # not that of 40 ms: it might have come by 50
-    assert odds.within(100 * MS) == pytest.approx(3 / 3)  # nobody has waited so long in vain
-    assert odds.within(35 * MS) == pytest.approx(2 / 5)
+        odds.record(took * MS, answered)
+    assert odds.answer_probability(50 * MS) == pytest.approx(
+        2 / 4
+    )  # not that of 40 ms: it might have come by 50
+    assert odds.answer_probability(100 * MS) == pytest.approx(3 / 3)  # nobody has waited so long in vain
+    assert odds.answer_probability(35 * MS) == pytest.approx(2 / 5)
 
 
 def test_odds_forget() -> None:
-    odds = Odds()
+    odds = AttemptHistory()
     for _ in range(100):
-        odds.learn(200 * MS, answered=False)
-    assert odds.within(100 * MS) < 0.1
+        odds.record(200 * MS, answered=False)
+    assert odds.answer_probability(100 * MS) < 0.1
     for _ in range(100):
-        odds.learn(20 * MS, answered=True)
-    assert odds.within(100 * MS) == 1.0
+        odds.record(20 * MS, answered=True)
+    assert odds.answer_probability(100 * MS) == 1.0
 
 
 def test_a_server_that_left_one_unanswered_gets_none_in_haste_for_a_while() -> None:
--- a/tests/decisions/test_keys.py
+++ b/tests/decisions/test_keys.py
@@ -23,7 +23,7 @@
     ServerState,
     Settings,
 )
-from pebblepass.decisions.health import PASS_CUT
+from pebblepass.decisions.health import LATE_DECREASE
 from tests.decisions.cases import MS, S, ended, fleet, request, settings, started
 
 KEYS = [f"pkg/{number}" for number in range(200)]
@@ -122,8 +122,8 @@
     arrive(alone, KEYS[:8])
     for name in send.requests:
         alone.handle(KeysServed([name], send.server, late), late)
-    chances = [router._caches.nodes[send.server].chance(late) for router in (together, alone)]
-    assert chances[0] == pytest.approx(PASS_CUT)
+    chances = [router._caches.nodes[send.server].send_probability(late) for router in (together, alone)]
+    assert chances[0] == pytest.approx(LATE_DECREASE)
     assert chances[1] < chances[0]
     assert nothing_left(together)
 
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -223,7 +223,7 @@
         tenant = "a" if i % 3 == 0 else "b"
         for send in sends(router.handle(request(f"r{i}", tenant=tenant), 0)):
             router.handle(ended(send, Outcome.OK), 0)
-    router._caches.nodes[fleet(1)[0].id].judge(Outcome.OK, True, 0)
+    router._caches.nodes[fleet(1)[0].id].record_outcome(Outcome.OK, True, 0)
     served = {"a": 0, "b": 0}
     for i in range(600):
         tenant = "a" if i % 3 == 0 else "b"
@@ -524,4 +524,4 @@
     other = only_send(router.handle(ended(first, Outcome.CONNECT_FAILED, latency=late, stale=True), late))
     assert other.server not in (first.server, ORIGIN.id)
     assert router.avoided(late) == []
-    assert router._caches.nodes[first.server].sound
+    assert router._caches.nodes[first.server].healthy
--- a/tests/decisions/test_window.py
+++ b/tests/decisions/test_window.py
@@ -49,7 +49,7 @@
 def narrowed(window: float = 1.0) -> Router:
     """A router whose window is that small, with quick fetches lately and none out."""
     router = started(settings(), fleet(4))
-    router._window, router._fetches.usual = window, 50 * MS
+    router._window, router._fetches.mean = window, 50 * MS
     return router
 
 
@@ -134,7 +134,7 @@
     (refused,) = finals(router.handle(TimerFired(timer.token), S + timer.delay))
     assert isinstance(refused, Refuse)
     assert refused.reason is Reason.LIMIT
-    router._fetches.usual = float(AIM)
+    router._fetches.mean = float(AIM)
     (at_once,) = finals(miss(router, "hopeless", S))
     assert at_once.request == "hopeless"
     assert not router._line
