Name the rate limiting of fetches in the field's terms

Need: gap, told, eased, share and chance hid a lease, a carry-over and an admission probability. Change: names and docstrings of suppressor.py; how far a tenant is over its weight is computed in one place (record_usage) and not in two. hold, rise, cut and wanted stay: a benchmark calls them. Behaviour unchanged.

--- a/pebblepass/decisions/router.py
+++ b/pebblepass/decisions/router.py
@@ -26,7 +26,7 @@
 from pebblepass.decisions.origin import Outage, Store
 from pebblepass.decisions.requests import Command, Request
 from pebblepass.decisions.slot_table import DEPTH, SLOTS, SlotTable
-from pebblepass.decisions.suppressor import CUT, Suppressor
+from pebblepass.decisions.suppressor import LIMIT_DECREASE, Suppressor
 
 APART = 0.4  # by how much routers differ in what they think of a hot slot's owners
 
@@ -139,7 +139,7 @@
         store = (fetches.mean, fetches.deviation, answers.mean, answers.deviation)
         return api.Knowledge(
             tuple(node.export_state() for node in nodes if node.last_outcome_at),
-            tuple(guard.known(name, now) for name, guard in self._guards.items()),
+            tuple(guard.export_state(name, now) for name, guard in self._guards.items()),
             api.StoreKnown(self._window, self._width, self._origin_bad, *store),
             tuple((slot, count) for slot, count in self._heat.hottest() if isinstance(slot, int)),
             tuple((name, count) for name, count in self._usage.hottest() if isinstance(name, str)),
@@ -151,7 +151,7 @@
                 self._caches.nodes[node.server].import_state(node)
         for limit in known.limits:
             if limit.tenant in self._guards:
-                self._guards[limit.tenant].learn(limit, known.weight)
+                self._guards[limit.tenant].import_state(limit, known.weight)
         self._heat.learn(known.heat, known.weight)
         self._usage.learn(known.usage, known.weight)
         store, weight = known.store, known.weight
@@ -270,7 +270,7 @@
             self._fetch(request)
         else:
             request.share = self._heat.add(request.slot)
-            guard.excess = (self._usage.add(event.tenant or "") / max(guard.portion, 0.001)) ** 2
+            guard.record_usage(self._usage.add(event.tenant or ""))
             self._route(request)
 
     def _keys_arrived(self, event: api.KeysArrived) -> None:
@@ -280,8 +280,7 @@
         cold, settled = HEAT_SHARE / max(len(self._caches.nodes), 1), self._caches.settled
         command = self._commands.setdefault(event.command, Command(event.command))
         command.open += len(event.requests)
-        usage = self._usage.add(event.tenant or "", len(event.requests))
-        guard.excess = (usage / max(guard.portion, 0.001)) ** 2
+        guard.record_usage(self._usage.add(event.tenant or "", len(event.requests)))
         in_haste = event.deadline - now < cls.aim
         sends: dict[Node, api.SendKeys] = {}
         for name, key in zip(event.requests, event.keys, strict=True):
@@ -366,7 +365,7 @@
                 continue
             chance = node.send_probability(self._now)
             # Tenants over their portion are shed first, those well within it last.
-            if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.guard.excess):
+            if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.guard.overuse):
                 if self._hopeless(request, node):
                     self._give_up(request, Reason.TIME)
                 else:
@@ -508,7 +507,7 @@
             self._wait(request, request.deadline - self._now)
             return
         if request.write:
-            request.guard.count(self._now)
+            request.guard.record_call(self._now)
         else:
             again = request.again or request.refetching
             if not (request.guard.admit(self._now, again) or self._outage.ask(self._now)):
@@ -677,7 +676,7 @@
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
             if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.mean:
                 self._last_cut = self._now
-                self._width = max(1.0, min(self._width, node.load + 1) * CUT)
+                self._width = max(1.0, min(self._width, node.load + 1) * LIMIT_DECREASE)
                 for guard in self._guards.values():  # the origin is shared: it speaks for all
                     guard.cut(self._now)
         self._next_in_line()
--- a/pebblepass/decisions/suppressor.py
+++ b/pebblepass/decisions/suppressor.py
@@ -1,4 +1,7 @@
-"""Rate limiting of fetches from the origin: one suppressor for each tenant."""
+"""Rate limiting of fetches from the origin: one suppressor for each tenant.
+
+Limits are calls a second of this router alone; times are whole nanoseconds, windows are seconds.
+"""
 
 from __future__ import annotations
 
@@ -10,134 +13,145 @@
 from pebblepass.decisions import interface as api
 from pebblepass.decisions.interface import NS_PER_S
 
-# The Suppressor: the paper's three regimes, and how its limit is tuned (ours).
 HARD_LIMIT_FACTOR = 1.5  # of the soft limit, as the paper recommends
-CHANCE_CACHED = NS_PER_S // 10  # for which the paper keeps the chance between the limits
-WINDOW_CALLS = 8  # calls that a window should be able to hold at the generous limit
-WINDOW_MIN_S, WINDOW_MAX_S = 5.0, 20.0  # seconds
-UNSTATED_LIMIT = 1000.0  # calls a second of all routers together to begin with, where no quota is stated
-CUT, RISE_S = 0.7, 15.0  # the limit's cut, of what was used; seconds from the floor back to the cap
+PROBABILITY_TTL_NS = NS_PER_S // 10  # the paper's caching time of the admission probability
+WINDOW_CALLS = 8  # that a window should hold at the cap
+MIN_WINDOW_S, MAX_WINDOW_S = 5.0, 20.0  # seconds
+DEFAULT_LIMIT = 1000.0  # calls a second of all routers together, where no quota is configured
+MIN_WEIGHT = 0.001  # of a tenant without one, for its overuse
+LIMIT_DECREASE, LIMIT_RECOVERY_S = 0.7, 15.0  # factor on the rate in use; from 0 to the cap
 
 
 class Suppressor:
-    """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
+    """A tenant's rate limiter: sliding-window counts, the paper's three regimes, and a limit tuned by AIMD.
+
+    Under the soft limit every fetch is admitted, over the hard limit none, and some in between.
+    """
 
     def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
-        self.portion, self.excess = tenant.portion, 1.0  # excess: (share of requests here / portion) squared
-        self.cap = self.limit = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
-        self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
-        self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
+        self.weight, self.overuse = tenant.portion, 1.0
+        self.cap = self.limit = (tenant.quota_per_s or DEFAULT_LIMIT) / routers
+        self.window_s = min(max(WINDOW_CALLS / self.cap, MIN_WINDOW_S), MAX_WINDOW_S)
+        self.min_limit = min(1 / self.window_s, self.cap)  # one call a window
         self._calls: deque[tuple[int, bool]] = deque()
-        self.declined = self.wanted = 0  # wanted: fetches and writes so far, those tried again once
+        self.declined = self.wanted = 0  # wanted: fetches and writes, without retries
         self.hard_factor = HARD_LIMIT_FACTOR
-        self._stated = self.portion, self.cap, self.window_s
-        self._has_quota, self._shared = tenant.quota_per_s > 0, False
-        self._gap, self._gap_at = 0.0, 0  # by what the limit was higher before its share fell, and when
-        self._tuned: float | None = None  # the limit before the floor, while that holds
+        self._stated = self.weight, self.cap, self.window_s
+        self._has_quota, self._leased = tenant.quota_per_s > 0, False
+        self._carried_over, self._carried_over_at = 0.0, 0  # excess of the limit before its lease shrank
+        self._limit_before_floor: float | None = None  # None: the floor does not apply
         self._rng = rng
-        self._chance, self._chance_until = 1.0, 0
-        self._last_rise = 0
+        self._probability, self._probability_until = 1.0, 0
+        self._last_increase = 0
 
     def hold(
         self,
         policy: api.PolicyHeld,
-        told: api.NamespaceHeld | None,
+        namespace: api.NamespaceHeld | None,
         routers: int,
-        share: float | None,
+        lease: float | None,
         now: int,
     ) -> None:
-        """Take a policy over; or the floor, for a router that can't tell whether it still is in force.
+        """Apply a policy, its entry for this tenant, and the quota lease granted beyond the floor.
 
-        `share`: what it is granted beyond the floor, where the policy splits quotas so; None: the floor.
+        `lease` is in calls a second, and counts where the policy splits quotas by leases. None applies the
+        floor: this router can't tell whether the policy is still in force.
         """
-        portion, cap, window_s = self._stated
-        if told is not None:
-            portion = portion if told.portion is None else told.portion
-            cap = cap if told.quota_per_s is None else told.quota_per_s / routers
+        weight, cap, window_s = self._stated
+        if namespace is not None:
+            weight = weight if namespace.portion is None else namespace.portion
+            cap = cap if namespace.quota_per_s is None else namespace.quota_per_s / routers
         if policy.rate_per_s is not None:
-            cap = min(cap, policy.rate_per_s * portion / routers)
-        shared, full = policy.shares and self._has_quota, cap
-        used = self.limit / self.cap if self.cap else 1.0
-        if share is None or shared:
-            cap = min(cap, self._stated[1] * policy.floor_share) + (share or 0.0)
-        self.portion, self.cap, self.hard_factor = portion, cap, policy.hard_factor
+            cap = min(cap, policy.rate_per_s * weight / routers)
+        leased, full_cap = policy.shares and self._has_quota, cap
+        used_fraction = self.limit / self.cap if self.cap else 1.0
+        if lease is None or leased:
+            cap = min(cap, self._stated[1] * policy.floor_share) + (lease or 0.0)
+        self.weight, self.cap, self.hard_factor = weight, cap, policy.hard_factor
         self.window_s = window_s if policy.window_s is None else policy.window_s
-        self.floor = min(1 / self.window_s, cap)
-        # What was tuned before the floor holds again after it: it was no sign of the origin's.
-        tuned = self.limit if self._tuned is None else self._tuned
-        if self._shared and not shared:
-            tuned = used * full
-        eased = self.limit + self._eased(now)
-        self.limit, self._tuned = min(tuned, cap), tuned if share is None else None
-        if shared:  # a share that moves is no sign of the origin's either: of the cap it keeps its part
-            self.limit, self._tuned = min(used, 1.0) * cap, None
-        # Calls that the window holds from before a share fell were allowed then: nobody pays for them now.
-        self._gap, self._gap_at = max(eased - self.limit, 0.0) if shared and share else 0.0, now
-        self._shared = shared
-        self._chance_until = 0
-
-    def _eased(self, now: int) -> float:
-        """What is left of the gap: about half of the window's calls are from before half a window."""
-        return self._gap * math.exp((self._gap_at - now) / NS_PER_S * 2 / self.window_s) if self._gap else 0.0
-
-    def count(self, now: int, declined: bool = False) -> None:
-        """Count one call to the origin."""
+        self.min_limit = min(1 / self.window_s, cap)
+        # The limit from before the floor applies again after it: the floor says nothing about the origin.
+        tuned = self.limit if self._limit_before_floor is None else self._limit_before_floor
+        if self._leased and not leased:
+            tuned = used_fraction * full_cap
+        previous = self.limit + self._carry_over(now)
+        self.limit, self._limit_before_floor = min(tuned, cap), tuned if lease is None else None
+        if leased:  # nor does a lease that changes: the limit keeps its fraction of the cap
+            self.limit, self._limit_before_floor = min(used_fraction, 1.0) * cap, None
+        # Calls in the window from before a lease shrank were allowed then, and are not charged now.
+        self._carried_over = max(previous - self.limit, 0.0) if leased and lease else 0.0
+        self._carried_over_at = now
+        self._leased = leased
+        self._probability_until = 0
+
+    def _carry_over(self, now: int) -> float:
+        """Return what remains of the excess; it decays with a time constant of half a window."""
+        if not self._carried_over:
+            return 0.0
+        return self._carried_over * math.exp((self._carried_over_at - now) / NS_PER_S * 2 / self.window_s)
+
+    def record_usage(self, fraction: float) -> None:
+        """Set the overuse from the tenant's fraction of recent requests: (fraction / weight) squared."""
+        self.overuse = (fraction / max(self.weight, MIN_WEIGHT)) ** 2
+
+    def record_call(self, now: int, declined: bool = False) -> None:
+        """Count one call to the origin, admitted or declined."""
         self._calls.append((now, declined))
         self.declined += declined
         self.wanted += 1
 
-    def known(self, tenant: str, now: int) -> api.LimitKnown:
-        """The limit and the window's calls, for another router."""
+    def export_state(self, tenant: str, now: int) -> api.LimitKnown:
+        """Return the limit and the calls of the window, for another router."""
         self.accepted(now)
         counts: dict[int, list[int]] = {}
         for at, declined in self._calls:
-            counts.setdefault(at // CHANCE_CACHED, [0, 0])[declined] += 1
-        calls = tuple((step * CHANCE_CACHED, each[0], each[1]) for step, each in counts.items())
+            counts.setdefault(at // PROBABILITY_TTL_NS, [0, 0])[declined] += 1
+        calls = tuple((step * PROBABILITY_TTL_NS, each[0], each[1]) for step, each in counts.items())
         return api.LimitKnown(tenant, self.limit, calls)
 
-    def learn(self, known: api.LimitKnown, weight: float) -> None:
-        """Take over another router's limit, by its weight, and its calls beside those counted here."""
-        self.limit += (min(max(known.limit, self.floor), self.cap) - self.limit) * weight
-        told = [(at, bool(i)) for at, *counts in known.calls for i in (0, 1) for _ in range(counts[i])]
-        self._calls = deque(sorted([*told, *self._calls]))
+    def import_state(self, known: api.LimitKnown, weight: float) -> None:
+        """Move the limit towards another router's by `weight` (0 to 1), and add its calls to the window."""
+        self.limit += (min(max(known.limit, self.min_limit), self.cap) - self.limit) * weight
+        calls = [(at, bool(i)) for at, *counts in known.calls for i in (0, 1) for _ in range(counts[i])]
+        self._calls = deque(sorted([*calls, *self._calls]))
         self.declined = sum(declined for _, declined in self._calls)
 
     def accepted(self, now: int) -> int:
-        """Calls of the window that went to the origin."""
+        """Drop calls older than the window, and return how many of the rest were admitted."""
         while self._calls and self._calls[0][0] <= now - self.window_s * NS_PER_S:
             self.declined -= self._calls.popleft()[1]
         return len(self._calls) - self.declined
 
     def admit(self, now: int, again: bool = False) -> bool:
-        """Decide on one fetch, and count it; `again`: its client has asked for it before."""
-        accepted, soft = self.accepted(now), self.window_s * (self.limit + self._eased(now))
+        """Decide on one fetch, and count it; a retry (`again`) is not counted as wanted."""
+        accepted, soft = self.accepted(now), self.window_s * (self.limit + self._carry_over(now))
         over = len(self._calls) >= soft * self.hard_factor
         allowed = not (over and accepted >= soft)
         if allowed and self._calls and (over or accepted >= soft):
-            # Departure: refusals alone that hold total at the hard limit would pin a tenant there, as
-            # every retry counts anew; while accepted is under the soft limit the chance holds instead.
-            allowed = self._rng.random() < self.chance(now)
-        self.count(now, declined=not allowed)
+            # Departure from the paper: while fewer calls than the soft limit were admitted, the probability
+            # applies over the hard limit too. Declined retries would keep a tenant there for good.
+            allowed = self._rng.random() < self.admission_probability(now)
+        self.record_call(now, declined=not allowed)
         self.wanted -= again
         return allowed
 
-    def chance(self, now: int) -> float:
-        """The chance of a fetch between the limits: rate limit / perceived rate, cached, at most 1."""
-        if now >= self._chance_until:
-            self._chance_until = now + CHANCE_CACHED
+    def admission_probability(self, now: int) -> float:
+        """Return the probability between the limits: rate limit / perceived rate, at most 1, cached."""
+        if now >= self._probability_until:
+            self._probability_until = now + PROBABILITY_TTL_NS
             last = sum(1 for _ in takewhile(lambda call: call[0] > now - NS_PER_S, reversed(self._calls)))
-            self._chance = min(1.0, self.limit / max(len(self._calls) / self.window_s, last))
-        return self._chance
+            self._probability = min(1.0, self.limit / max(len(self._calls) / self.window_s, last))
+        return self._probability
 
     def rise(self, now: int) -> None:
-        """Additive rise after a good fetch, up to the cap, and only while the limit is in use."""
+        """Increase the limit additively after a good fetch, up to the cap, if half of it is in use."""
         if self.accepted(now) * 2 >= self.limit * self.window_s:
-            idle = min((now - self._last_rise) / NS_PER_S, self.window_s)
-            self.limit = min(self.cap, self.limit + self.cap / RISE_S * idle)
-        self._last_rise = now
+            elapsed_s = min((now - self._last_increase) / NS_PER_S, self.window_s)
+            self.limit = min(self.cap, self.limit + self.cap / LIMIT_RECOVERY_S * elapsed_s)
+        self._last_increase = now
 
     def cut(self, now: int) -> None:
-        """Multiplicative cut from what was really used, harder for a tenant over its portion."""
-        self._last_rise, self._gap = now, 0.0
-        used = min(self.limit, max(self.accepted(now), 1) / self.window_s)
-        self.limit = max(self.floor, used * CUT ** min(max(self.excess, 0.5), 2.0))
+        """Decrease the limit multiplicatively from the rate in use, more for a tenant that overuses."""
+        self._last_increase, self._carried_over = now, 0.0
+        used_rate = min(self.limit, max(self.accepted(now), 1) / self.window_s)
+        self.limit = max(self.min_limit, used_rate * LIMIT_DECREASE ** min(max(self.overuse, 0.5), 2.0))
--- a/tests/decisions/test_keys.py
+++ b/tests/decisions/test_keys.py
@@ -167,6 +167,6 @@
     router = started(settings(), fleet(3))
     arrive(router, KEYS, tenant="b")
     router.handle(request("one", key="x", tenant="a"), 0)
-    assert router._guards["b"].excess == 0  # as of before its first list
+    assert router._guards["b"].overuse == 0  # as of before its first list
     router.handle(KeysArrived(["d.0"], ["y"], "read", S, "b", "d"), 0)
-    assert router._guards["b"].excess > 2  # nearly all of the requests seen, of a portion of 0.4
+    assert router._guards["b"].overuse > 2  # nearly all of the requests seen, of a portion of 0.4
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -23,7 +23,7 @@
     Tenant,
     TimerFired,
 )
-from pebblepass.decisions.suppressor import CUT
+from pebblepass.decisions.suppressor import LIMIT_DECREASE
 from tests.decisions.cases import (
     MS,
     ORIGIN,
@@ -304,7 +304,7 @@
             outcome = Outcome.RESET if i > 57 else Outcome.OK
             router.handle(ended(fetch, outcome, 1, closed=True), now)
     used_a, used_b = (guard.accepted(2 * S) / guard.window_s for guard in (a, b))
-    assert b.limit / used_b < CUT < a.limit / used_a
+    assert b.limit / used_b < LIMIT_DECREASE < a.limit / used_a
 
 
 def test_cuts_come_once_an_origin_round_trip() -> None:
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -113,7 +113,7 @@
     assert admitted >= 70  # of 8 a second that are wanted; 48 without the ease
     # At the floor there is no such ease: others may have the share.
     made.handle(PolicyChanged(HELD, 0), later + 10 * NS_PER_S)
-    assert guard._gap == 0
+    assert guard._carried_over == 0
 
 
 def test_what_is_wanted_counts_fetches_and_writes_and_refused_ones_once() -> None:
--- a/tests/decisions/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pebblepass.decisions.interface import Tenant
-from pebblepass.decisions.suppressor import CUT, RISE_S, Suppressor
+from pebblepass.decisions.suppressor import LIMIT_DECREASE, LIMIT_RECOVERY_S, Suppressor
 from tests.decisions.cases import MS, S
 
 
@@ -32,7 +32,7 @@
     """Count calls at an even rate from `start`; returns the time after the last."""
     now = start
     for _ in range(count):
-        guard.count(now, declined)
+        guard.record_call(now, declined)
         now += int(S / per_s)
     return now
 
@@ -51,13 +51,13 @@
     now = 59 * S
     fill(guard, now, 12, per_s=100.0)
     assert len(guard._calls) == 700
-    assert guard.chance(now + 500 * MS) == pytest.approx(10 / 12)
+    assert guard.admission_probability(now + 500 * MS) == pytest.approx(10 / 12)
 
 
 def test_window_average_is_used_when_it_is_the_higher_rate() -> None:
     guard = suppressor()
     now = fill(guard, 0, 840, per_s=15.0)  # 56 s; 840 / 60 = 14 a second
-    assert guard.chance(now + 2 * S) == pytest.approx(10 / 14)
+    assert guard.admission_probability(now + 2 * S) == pytest.approx(10 / 14)
 
 
 @pytest.mark.parametrize(("draw", "allowed"), [(0.70, True), (0.72, False)])
@@ -78,11 +78,11 @@
 
 def test_chance_is_cached_for_100_ms_and_never_above_one() -> None:
     guard = suppressor()
-    guard.count(0)
-    assert guard.chance(0) == 1.0
+    guard.record_call(0)
+    assert guard.admission_probability(0) == 1.0
     fill(guard, 10 * MS, 30, per_s=1000.0)
-    assert guard.chance(99 * MS) == 1.0
-    assert guard.chance(100 * MS) == pytest.approx(10 / 31)
+    assert guard.admission_probability(99 * MS) == 1.0
+    assert guard.admission_probability(100 * MS) == pytest.approx(10 / 31)
 
 
 def test_window_forgets() -> None:
@@ -108,10 +108,11 @@
     guard = suppressor(limit=100.0, window_s=10.0)
     now = fill(guard, 0, 100, per_s=20.0)
     guard.cut(now)
-    assert guard.limit == pytest.approx(10.0 * CUT)  # 100 calls in 10 s used, not the inflated 100 a second
+    used = 10.0  # 100 calls in 10 s, not the inflated 100 a second
+    assert guard.limit == pytest.approx(used * LIMIT_DECREASE)
     for i in range(1, 40):
         guard.cut(now + i * S)
-    assert guard.limit == guard.floor > 0
+    assert guard.limit == guard.min_limit > 0
 
 
 def test_rise_only_while_used_and_up_to_the_cap() -> None:
@@ -121,8 +122,8 @@
     assert guard.limit == 4.0
     now = fill(guard, S, 60, per_s=10.0)
     guard.rise(now)
-    assert guard.limit == pytest.approx(4.0 + 10.0 / RISE_S * 6.0)  # 6 s since the last rise
+    assert guard.limit == pytest.approx(4.0 + 10.0 / LIMIT_RECOVERY_S * 6.0)  # 6 s since the last rise
     for i in range(1, 200):
-        guard.count(now + i * 50 * MS)
+        guard.record_call(now + i * 50 * MS)
         guard.rise(now + i * 50 * MS)
     assert guard.limit <= 10.0
