--- a/pebblepass/decisions/router.py
+++ b/pebblepass/decisions/router.py
@@ -152,8 +152,8 @@
         for limit in known.limits:
             if limit.tenant in self._guards:
                 self._guards[limit.tenant].import_state(limit, known.weight)
-        self._heat.learn(known.heat, known.weight)
-        self._usage.learn(known.usage, known.weight)
+        self._heat.import_counts(known.heat, known.weight)
+        self._usage.import_counts(known.usage, known.weight)
         store, weight = known.store, known.weight
         self._origin_bad += (store.bad - self._origin_bad) * weight
         for pace, mean, deviation in (
--- a/pebblepass/decisions/slot_table.py
+++ b/pebblepass/decisions/slot_table.py
@@ -10,67 +10,69 @@
 from pebblepass.decisions import interface as api
 from pebblepass.decisions.health import Node
 
-SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
-DEPTH = 8  # servers ranked for a slot: more than a request may try, with some to pass over
-WORD = (1 << 64) - 1  # of the hash
+SLOTS = 8192  # far more than servers, so that one slot is a small part of a server's load
+DEPTH = 8  # servers ranked for a slot: more than a request may try, with some to skip
+HASH_MASK = (1 << 64) - 1  # of a 64-bit hash
 
 
 class SlotTable:
-    """Weighted rendezvous hashing of slots over the ready servers, remembered slot by slot."""
+    """Weighted rendezvous hashing of slots over the ready servers; rankings are cached by slot."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.nodes: dict[str, Node] = {}
         self._settings = settings
         self._memo: dict[int, list[tuple[float, Node]]] = {}
-        self.settled: dict[int, list[Node]] = {}  # the memo's nodes alone, while none of them is cold
+        self.settled: dict[int, list[Node]] = {}  # the cached nodes without scores, none of them cold
         self.cold_until = 0
-        self._only: list[Node] = []
+        self._single: list[Node] = []
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
-        """Take over what changed in the list; other slots keep their rankings."""
+        """Add or replace ready servers and remove those that left; unaffected rankings stay cached."""
         changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
-        gone = {*left, *(entry.id for entry in changed)}
+        removed = {*left, *(entry.id for entry in changed)}
         self.settled.clear()
-        for server_id in gone:
+        for server_id in removed:
             self.nodes.pop(server_id, None)
-        if len(gone) > DEPTH:
+        if len(removed) > DEPTH:
             self._memo.clear()
-        for slot in [s for s, held in self._memo.items() if any(n.entry.id in gone for _, n in held)]:
+        for slot in [
+            s for s, ranking in self._memo.items() if any(n.entry.id in removed for _, n in ranking)
+        ]:
             del self._memo[slot]
         for node in [Node(entry, self._settings.weighted) for entry in changed]:
             self.nodes[node.entry.id] = node
-            for slot, held in self._memo.items():
-                ranked = [*held, (self._score(slot, node), node)]
-                held[:] = nlargest(max(DEPTH, len(held)), ranked, key=itemgetter(0))
-        self._only = list(self.nodes.values())[:1]
+            for slot, ranking in self._memo.items():
+                extended = [*ranking, (self._score(slot, node), node)]
+                ranking[:] = nlargest(max(DEPTH, len(ranking)), extended, key=itemgetter(0))
+        self._single = list(self.nodes.values())[:1]
         newest = max((node.entry.started for node in self.nodes.values()), default=0)
         self.cold_until = newest + self._settings.cold_time
 
     def _score(self, slot: int, node: Node) -> float:
-        mixed = (node.hash_seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
-        mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & WORD
-        return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
+        mixed = (node.hash_seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & HASH_MASK
+        mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & HASH_MASK
+        return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (HASH_MASK + 2))
 
     def warmth(self, node: Node, now: int) -> float:
-        """Return the share of its work that a server can do so soon after its start."""
+        """Return the fraction (0 to 1) of its full capacity that a server has by the time since its start."""
         age = max(now - node.entry.started, 0)  # clocks differ: a start may lie ahead
         cold, cold_time = self._settings.cold_share, self._settings.cold_time
         warm = not node.entry.started or age >= cold_time
         return 1.0 if warm else cold + (1 - cold) * age / cold_time
 
     def rank(self, slot: int, now: int, depth: int = DEPTH) -> Sequence[Node]:
-        """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
-        if len(self.nodes) <= 1:  # the origin's table: a ranking for each slot would be kept for nothing
-            return self._only
-        known = self.settled.get(slot, ())
-        if len(known) >= min(depth, len(self.nodes)) and now >= self.cold_until:
-            return known
-        held = self._memo.get(slot, [])
-        if len(held) < min(depth, len(self.nodes)):
+        """Return at least `depth` servers of a slot (or all), best first; cold ones count by their warmth."""
+        if len(self.nodes) <= 1:  # the origin's table: nothing to rank
+            return self._single
+        cached = self.settled.get(slot, ())
+        if len(cached) >= min(depth, len(self.nodes)) and now >= self.cold_until:
+            return cached
+        scores = self._memo.get(slot, [])
+        if len(scores) < min(depth, len(self.nodes)):
             scored = ((self._score(slot, node), node) for node in self.nodes.values())
-            held = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
+            scores = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
         if now < self.cold_until:
-            ramped = [(score * self.warmth(node, now), node) for score, node in held]
+            ramped = [(score * self.warmth(node, now), node) for score, node in scores]
             return [node for _, node in sorted(ramped, key=itemgetter(0), reverse=True)]
-        ranked = self.settled[slot] = [node for _, node in held]
+        ranked = self.settled[slot] = [node for _, node in scores]
         return ranked
