Name outages and requests in the field's terms

Need: twin, placed, lined, queued, again, out and ran had to be explained; of an outage the docstrings spoke of a way that was cut. Change: names and docstrings of origin.py and requests.py, and their uses. Behaviour unchanged.

--- a/pebblepass/decisions/origin.py
+++ b/pebblepass/decisions/origin.py
@@ -6,52 +6,54 @@
 
 from pebblepass.decisions.interface import NS_PER_S
 
-OUTAGE_FETCHES = 3  # in a row without an answer, after which a quick one tells of a way that was cut
+OUTAGE_THRESHOLD = 3  # consecutive fetches without an answer
+PROBE_INTERVAL_NS = NS_PER_S
 
 
-class Store(NamedTuple):
-    """What a router holds of the origin as a whole; `limits` by tenant."""
+class OriginState(NamedTuple):
+    """The limits and latencies (in nanoseconds) that a router has tuned by the origin's answers."""
 
-    width: float
-    window: float
-    bad: float
+    write_limit: float
+    fetch_window: float
+    bad_fraction: float
     mean: float
     deviation: float
     limits: dict[str, float]
+    """Calls a second of this router, by tenant."""
 
 
 class Outage:
-    """Fetches in a row that had no answer of any kind, and what was held of the origin before them.
+    """Detects that the network path to the origin is interrupted, and keeps the state from before.
 
-    An origin that has too much to do answers late or declines; one that can't be reached says nothing at all,
-    and answers quickly once it can. What was cut in between was cut for the way, and is taken back.
+    An overloaded origin answers late or declines; an unreachable one does not answer at all, and answers fast
+    once it is reachable. Limits that were decreased in between had the wrong cause, and are restored.
     """
 
     def __init__(self) -> None:
         self._unanswered = 0
-        self._before: Store | None = None
-        self._asked_at = 0
+        self._state_before: OriginState | None = None
+        self._last_probe_at = 0
 
     @property
-    def on(self) -> bool:
-        """Whether the way seems to be cut."""
-        return self._unanswered >= OUTAGE_FETCHES
+    def active(self) -> bool:
+        """Whether enough consecutive fetches went unanswered."""
+        return self._unanswered >= OUTAGE_THRESHOLD
 
-    def ask(self, now: int) -> bool:
-        """Whether one more fetch may go, to hear whether it still is: one a second."""
-        due = self.on and now - self._asked_at >= NS_PER_S
+    def take_probe(self, now: int) -> bool:
+        """Whether a fetch may be sent as a probe, whatever the limits; at most one a second, in an outage."""
+        due = self.active and now - self._last_probe_at >= PROBE_INTERVAL_NS
         if due:
-            self._asked_at = now
+            self._last_probe_at = now
         return due
 
-    def unanswered(self, held: Store) -> None:
-        """A fetch has ended without an answer; `held` counts if it is the first."""
+    def record_unanswered(self, state: OriginState) -> None:
+        """Count a fetch that ended without an answer; `state` is kept if it is the first in a row."""
         if not self._unanswered:
-            self._before = held
+            self._state_before = state
         self._unanswered += 1
 
-    def answered(self, quickly: bool) -> Store | None:
-        """An answer has come; returns what to go back to, if there was an outage and it is over."""
-        over = quickly and self.on
+    def record_answer(self, quickly: bool) -> OriginState | None:
+        """End the row of unanswered fetches; return the state to restore if a quick answer ends an outage."""
+        over = quickly and self.active
         self._unanswered = 0
-        return self._before if over else None
+        return self._state_before if over else None
--- a/pebblepass/decisions/requests.py
+++ b/pebblepass/decisions/requests.py
@@ -1,4 +1,4 @@
-"""Open requests, and the commands that several of them belong to."""
+"""Open requests, the rules of repeating them, and the commands that several of them belong to."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Command:
-    """The keys of one command: how many are open, how many are being fetched, and which wait for that."""
+    """A command of several keys: how many requests are open or being fetched, and which wait to be."""
 
     def __init__(self, name: str) -> None:
         self.name, self.open, self.fetching = name, 0, 0
@@ -19,49 +19,55 @@
 
 
 class Request:
-    """An open request; it lives on after its final answer until its attempt has ended."""
+    """A client's request; it is kept after its final answer until its last attempt has ended."""
 
-    slot = sends = sent_at = 0
-    share = 0.0
+    slot = attempts = sent_at = 0
+    popularity = 0.0  # the fraction of recent requests that its slot had
     node: Node | None = None
-    ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
-    fetching = refetching = out = leads = waiting = done = False
+    may_have_run: tuple[Node, int] | None = None  # the first attempt that may have run: node, send time
+    fetching = is_refetch = in_flight = leads_flight = waiting = done = False
     command: Command | None = None
-    queued = False  # stands in its command's line for a fetch
-    lined = False  # stands in line for the origin
-    again = False  # its client has asked for it before
-    placed = False  # counts among its command's fetches
-    twin: Node | None = None  # asked for a second copy while the first is out
+    in_command_queue = False  # waits for one of its command's fetches to end
+    in_origin_queue = False  # waits for one of this router's fetches to end
+    is_retry = False  # the client's retry
+    holds_command_slot = False  # counts as one of its command's fetches
+    hedge_node: Node | None = None  # the server of a hedged second attempt
 
     def __init__(
-        self, name: str, key: str | None, deadline: int, write: bool, cls: api.RequestClass, guard: Suppressor
+        self,
+        name: str,
+        key: str | None,
+        deadline: int,
+        write: bool,
+        cls: api.RequestClass,
+        suppressor: Suppressor,
     ) -> None:
         self.id, self.key, self.deadline, self.write = name, key, deadline, write
-        self.cls, self.guard = cls, guard
-        self.failed: list[Node] = []
+        self.cls, self.suppressor = cls, suppressor
+        self.excluded: list[Node] = []
 
     def may_send(self, node: Node, now: int) -> bool:
-        """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
-        if self.ran is None or self.cls.effect is Effect.SAFE:
+        """Rule 2: repeat what may have run only at servers that drop duplicates, within their window."""
+        if self.may_have_run is None or self.cls.effect is Effect.SAFE:
             return True
-        here, there = node.entry, self.ran[0].entry
-        if self.cls.effect is Effect.UNSAFE or now - self.ran[1] >= self.cls.dedup_window:
+        here, there = node.entry, self.may_have_run[0].entry
+        if self.cls.effect is Effect.UNSAFE or now - self.may_have_run[1] >= self.cls.dedup_window:
             return False
         if self.cls.group is Group.ALL:
             return True
         return here.zone == there.zone and (self.cls.group is Group.ZONE or here.cell == there.cell)
 
-    def repeat_until(self) -> int:
-        """Until when an attempt that is decided on now may leave; 0: as late as may be."""
-        if self.ran is None or self.cls.effect is not Effect.KEYED:
+    def resend_deadline(self) -> int:
+        """Return the clock time in nanoseconds after which it must not be sent again; 0: no such time."""
+        if self.may_have_run is None or self.cls.effect is not Effect.KEYED:
             return 0
-        return self.ran[1] + self.cls.dedup_window
+        return self.may_have_run[1] + self.cls.dedup_window
 
     def may_repeat(self) -> bool:
-        """Whether it does no harm to try again, whatever became of the attempts before."""
+        """Whether a repeat is harmless at any server, whatever became of earlier attempts."""
         keyed_anywhere = self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
         return self.cls.effect is Effect.SAFE or keyed_anywhere
 
     def may_refuse(self) -> bool:
-        """Rule 2: a refusal says that a further try is harmless."""
-        return self.ran is None or self.may_repeat()
+        """Rule 2: a refusal promises the client that a retry is harmless."""
+        return self.may_have_run is None or self.may_repeat()
--- a/pebblepass/decisions/router.py
+++ b/pebblepass/decisions/router.py
@@ -23,7 +23,7 @@
 )
 from pebblepass.decisions.hot_keys import HEAT_SHARE, Heat
 from pebblepass.decisions.interface import NS_PER_S, Effect, ListKind, Outcome, Reason, ServerState
-from pebblepass.decisions.origin import Outage, Store
+from pebblepass.decisions.origin import OriginState, Outage
 from pebblepass.decisions.requests import Command, Request
 from pebblepass.decisions.slot_table import DEPTH, SLOTS, SlotTable
 from pebblepass.decisions.suppressor import LIMIT_DECREASE, Suppressor
@@ -251,7 +251,7 @@
             self._actions.append(api.Subscribe())
             # Danger: clients name their requests; one of this name has timers too, and must have its answer.
         request = self._requests.get(token)
-        if request and request.lined:
+        if request and request.in_origin_queue:
             self._give_up(request, Reason.LIMIT)
         elif request and request.waiting and self._now >= request.deadline:
             self._give_up(request, Reason.TIME)
@@ -265,11 +265,11 @@
         request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
         self._requests[request.id] = request
         if event.retry:
-            request.again = True
+            request.is_retry = True
         if request.write and self._settings.origin_kind is not None:
             self._fetch(request)
         else:
-            request.share = self._heat.add(request.slot)
+            request.popularity = self._heat.add(request.slot)
             guard.record_usage(self._usage.add(event.tenant or ""))
             self._route(request)
 
@@ -286,15 +286,15 @@
         for name, key in zip(event.requests, event.keys, strict=True):
             request = self._requests[name] = Request(name, key, event.deadline, False, cls, guard)
             slot = request.slot = crc32(key.encode()) % SLOTS
-            request.command, request.share = command, self._heat.add(slot)
-            held = settled.get(slot) if request.share <= cold else None
+            request.command, request.popularity = command, self._heat.add(slot)
+            held = settled.get(slot) if request.popularity <= cold else None
             ranking = held or self._candidates(request)
             # The plain case of _route: the first choice is sound, and there is time left.
             if not ranking or not ranking[0].healthy or in_haste:
                 self._route(request)
                 continue
             node = ranking[0]
-            request.sends, request.node, request.sent_at, request.out = 1, node, now, True
+            request.attempts, request.node, request.sent_at, request.in_flight = 1, node, now, True
             node.load += 1
             if (send := sends.get(node)) is None:
                 send = sends[node] = api.SendKeys(
@@ -312,7 +312,7 @@
             node, command = request.node, request.command
             node.load -= 1
             command.open -= 1
-            request.out, request.done = False, True
+            request.in_flight, request.done = False, True
             if not command.open:
                 del self._commands[command.name]
             if node is not judged:  # one event, one judgement
@@ -324,11 +324,11 @@
                 self._answers.record(event.latency)
 
     def _send(self, request: Request, node: Node) -> None:
-        request.sends += 1
-        request.node, request.sent_at, request.out = node, self._now, True
+        request.attempts += 1
+        request.node, request.sent_at, request.in_flight = node, self._now, True
         node.load += 1
         patience = self._patience(request, node)
-        self._actions.append(api.Send(request.id, node.entry.id, patience, request.repeat_until()))
+        self._actions.append(api.Send(request.id, node.entry.id, patience, request.resend_deadline()))
 
     def _latency(self, overall: LatencyEstimate, node: Node) -> tuple[float, float]:
         """Mean latency and deviation of a server: the greater of its own and those of all servers."""
@@ -340,7 +340,7 @@
         aim = request.cls.aim
         mean, deviation = self._latency(self._fetches if request.fetching else self._answers, node)
         slow = mean + deviation * SPREADS / 2 > aim * SLOW_SHARE
-        first = not request.refetching if request.fetching else request.sends == 1
+        first = not request.is_refetch if request.fetching else request.attempts == 1
         if slow or not first or not request.may_repeat():
             return 0
         # Guards quick servers: six spreads of theirs are less than a hiccup, above all one of this router.
@@ -348,24 +348,24 @@
         return int(min(enough, aim * PATIENCE_SHARE))
 
     def _may_try(self, request: Request) -> bool:
-        return request.sends < self._settings.max_attempts and self._now < request.deadline
+        return request.attempts < self._settings.max_attempts and self._now < request.deadline
 
     def _route(self, request: Request) -> None:
         if not self._may_try(request):
             self._give_up(request, self._spent(request))
             return
-        if request.failed and request.sends == self._settings.max_attempts - 1 and self._origins.nodes:
+        if request.excluded and request.attempts == self._settings.max_attempts - 1 and self._origins.nodes:
             self._missed(request)  # the last attempt is the origin's: a cache's miss would leave none for it
             return
         shed = False
         for node in self._candidates(request):
-            if node in request.failed or not (
+            if node in request.excluded or not (
                 node.may_connect(self._now) and request.may_send(node, self._now)
             ):
                 continue
             chance = node.send_probability(self._now)
             # Tenants over their portion are shed first, those well within it last.
-            if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.guard.overuse):
+            if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.suppressor.overuse):
                 if self._hopeless(request, node):
                     self._give_up(request, Reason.TIME)
                 else:
@@ -388,7 +388,7 @@
         the caches are quick again.
         """
         left = request.deadline - self._now
-        if left >= request.cls.aim or request.sends or request.write:
+        if left >= request.cls.aim or request.attempts or request.write:
             return False
         missed = node.unanswered_at > self._now - TIMEOUT_HOLD_NS
         return (
@@ -397,7 +397,7 @@
 
     def _store_at_ease(self, request: Request) -> bool:
         """Whether the origin answers well within the aim, and nobody is refused or waits for it."""
-        guard = request.guard
+        guard = request.suppressor
         return (
             guard.declined <= EASE_SHARE * guard.accepted(self._now)
             and self._fetches.mean < request.cls.aim * QUICK_SHARE
@@ -405,7 +405,7 @@
         )
 
     def _candidates(self, request: Request) -> Sequence[Node]:
-        owners = math.ceil(request.share * len(self._caches.nodes) / HEAT_SHARE)
+        owners = math.ceil(request.popularity * len(self._caches.nodes) / HEAT_SHARE)
         ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
         if owners > 1:
             return [*sorted(ranking[:owners], key=self._draw), *ranking[owners:]]
@@ -443,7 +443,7 @@
             flight.append(request)
         elif command is not None and command.fetching >= COMMAND_FETCHES:
             command.waiting.append(request)  # else one scan's misses would queue at the origin all at once
-            request.queued = True
+            request.in_command_queue = True
         else:
             self._fetch(request)
             return
@@ -453,43 +453,43 @@
         """One of a command's fetches is over: those that wait for it go on."""
         while command.waiting and command.fetching < COMMAND_FETCHES:
             waiter = command.waiting.popleft()
-            if waiter.queued and waiter.waiting:
-                waiter.queued = waiter.waiting = False
+            if waiter.in_command_queue and waiter.waiting:
+                waiter.in_command_queue = waiter.waiting = False
                 self._missed(waiter)
 
     def _stored(self, key: str) -> None:
         """A fetch has come back: those that wait for a fetch of their own of this key ask the cache again."""
         queued = [w for command in self._commands.values() for w in command.waiting if w.key == key]
         for waiter in queued:
-            if waiter.queued and waiter.waiting:
-                waiter.queued = waiter.waiting = False
+            if waiter.in_command_queue and waiter.waiting:
+                waiter.in_command_queue = waiter.waiting = False
                 self._route(waiter)
 
     def _send_twin(self, request: Request) -> None:
         """Ask the next server of the slot for a second copy; the first good answer counts."""
-        idle = request.twin is None and request.out and not (request.fetching or request.done)
+        idle = request.hedge_node is None and request.in_flight and not (request.fetching or request.done)
         if not idle or not self._settings.second_copies or request.cls.effect is not Effect.SAFE:
             return
         for node in self._candidates(request):
             # Only a sound and warm server: a copy is a luxury.
             sound = node.send_probability(self._now) >= 1.0 and self._caches.warmth(node, self._now) >= 1.0
             sound = sound and node.may_connect(self._now)
-            if node is not request.node and node not in request.failed and sound and self._may_try(request):
-                request.sends += 1
-                request.twin = node
+            if node is not request.node and node not in request.excluded and sound and self._may_try(request):
+                request.attempts += 1
+                request.hedge_node = node
                 node.load += 1
                 self._actions.append(api.Send(request.id, node.entry.id))
                 return
 
     def _twin_ended(self, request: Request, node: Node, event: api.AttemptEnded) -> None:
         """A miss of the second copy says nothing while the first is out; else it stands for both."""
-        request.twin = None
+        request.hedge_node = None
         node.load -= 1
         self._judge_cache(request, node, event)
-        request.failed.append(node)
+        request.excluded.append(node)
         if event.closed or request.done:
             self._finish(request)
-        elif request.out or request.waiting:
+        elif request.in_flight or request.waiting:
             return
         elif event.outcome is Outcome.MISS and self._settings.origin_kind is not None:
             self._missed(request)
@@ -507,16 +507,16 @@
             self._wait(request, request.deadline - self._now)
             return
         if request.write:
-            request.guard.record_call(self._now)
+            request.suppressor.record_call(self._now)
         else:
-            again = request.again or request.refetching
-            if not (request.guard.admit(self._now, again) or self._outage.ask(self._now)):
+            again = request.is_retry or request.is_refetch
+            if not (request.suppressor.admit(self._now, again) or self._outage.take_probe(self._now)):
                 self._give_up(request, Reason.LIMIT)
                 return
         if request.key is not None and not request.write:
             self._flights.setdefault(request.key, [])
-            request.leads = True
-            if origins[0].load >= self._window and not request.refetching:
+            request.leads_flight = True
+            if origins[0].load >= self._window and not request.is_refetch:
                 self._line_up(request)
                 return
         self._begin_fetch(request, origins[0])
@@ -528,15 +528,15 @@
 
     def _take_place(self, request: Request) -> None:
         """Count a fetch among its command's, from when it stands in line."""
-        if request.command is not None and not request.placed:
-            request.placed = True
+        if request.command is not None and not request.holds_command_slot:
+            request.holds_command_slot = True
             request.command.fetching += 1
 
     def _give_place(self, request: Request) -> Command | None:
         """Count it no longer; returns the command that has a place to give, if there is one."""
-        if request.command is None or not request.placed:
+        if request.command is None or not request.holds_command_slot:
             return None
-        request.placed = False
+        request.holds_command_slot = False
         request.command.fetching -= 1
         return request.command
 
@@ -559,7 +559,7 @@
         if left <= 0:
             self._give_up(request, Reason.LIMIT)
             return
-        request.lined = True
+        request.in_origin_queue = True
         self._take_place(request)
         self._line.append(request)
         self._wait(request, left)
@@ -572,7 +572,7 @@
             if origins and origins[0].load >= self._window:
                 return
             self._line.remove(best)
-            best.lined = best.waiting = False
+            best.in_origin_queue = best.waiting = False
             if origins and self._may_try(best):
                 self._begin_fetch(best, origins[0])
             else:
@@ -582,8 +582,8 @@
         request = self._requests.get(event.request)
         if request is None or request.node is None:
             return
-        if request.twin is not None and event.server == request.twin.entry.id:
-            self._twin_ended(request, request.twin, event)
+        if request.hedge_node is not None and event.server == request.hedge_node.entry.id:
+            self._twin_ended(request, request.hedge_node, event)
             return
         freed = self._give_place(request) if request.fetching else None
         self._first_ended(request, request.node, event)
@@ -617,7 +617,7 @@
 
     def _first_ended(self, request: Request, node: Node, event: api.AttemptEnded) -> None:
         fetched, outcome = request.fetching, event.outcome
-        request.out = request.fetching = False
+        request.in_flight = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
         stale = is_connection_failure(event, late)
@@ -625,8 +625,8 @@
             self._judge_fetch(node, event, late, request.cls.aim)
         else:
             self._judge_cache(request, node, event)
-        if not outcome.never_ran and request.ran is None:
-            request.ran = node, request.sent_at
+        if not outcome.never_ran and request.may_have_run is None:
+            request.may_have_run = node, request.sent_at
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
@@ -638,13 +638,13 @@
         else:
             lost = outcome in (Outcome.TIMEOUT, Outcome.RESET)
             if not lost or late or node.consecutive_unanswered > 1:  # else it is asked once more
-                request.failed.append(node)
-            if request.twin is None:  # else that one's end decides
+                request.excluded.append(node)
+            if request.hedge_node is None:  # else that one's end decides
                 self._route(request)
 
     def _nobody_has(self, request: Request) -> None:
         """The origin knows no such key: so it is for all that wait for this fetch."""
-        for each in (*(self._flights.get(request.key or "", ()) if request.leads else ()), request):
+        for each in (*(self._flights.get(request.key or "", ()) if request.leads_flight else ()), request):
             if not each.done:
                 self._actions.append(api.Fail(each.id, Reason.MISSING))
                 self._finish(each)
@@ -694,12 +694,18 @@
             if not event.stale and (late or event.outcome is not Outcome.TIMEOUT):
                 limits = {name: guard.limit for name, guard in self._guards.items()}
                 pace = self._fetches.mean, self._fetches.deviation
-                self._outage.unanswered(Store(self._width, self._window, self._origin_bad, *pace, limits))
+                self._outage.record_unanswered(
+                    OriginState(self._width, self._window, self._origin_bad, *pace, limits)
+                )
         elif event.outcome in (Outcome.OK, Outcome.MISS, Outcome.ERROR, Outcome.FULL):
             good = event.outcome in (Outcome.OK, Outcome.MISS)
-            before = self._outage.answered(good and event.latency <= aim * QUICK_SHARE)
+            before = self._outage.record_answer(good and event.latency <= aim * QUICK_SHARE)
             if before is not None:
-                self._width, self._window, self._origin_bad = before.width, before.window, before.bad
+                self._width, self._window, self._origin_bad = (
+                    before.write_limit,
+                    before.fetch_window,
+                    before.bad_fraction,
+                )
                 self._fetches.mean, self._fetches.deviation = before.mean, before.deviation
                 for name, guard in self._guards.items():
                     guard.limit = max(guard.limit, before.limits[name])
@@ -709,8 +715,8 @@
 
         An attempt that counts as lost is made once more at once: it was none of the origin's doing.
         """
-        if (stale or (outcome is Outcome.TIMEOUT and not late)) and not request.refetching:
-            request.refetching = True
+        if (stale or (outcome is Outcome.TIMEOUT and not late)) and not request.is_refetch:
+            request.is_refetch = True
             self._fetch(request)
             return
         pause = int(self._fetches.mean * self._rng.uniform(0.5, 1.5))
@@ -721,7 +727,7 @@
 
     def _land(self, request: Request, stored: bool) -> None:
         """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
-        request.leads = False
+        request.leads_flight = False
         for waiter in self._flights.pop(request.key or "", ()):
             if not waiter.done:
                 waiter.waiting = False
@@ -747,17 +753,17 @@
     def _finish(self, request: Request, stored: bool = False) -> None:
         request.done, request.waiting = True, False
         freed = None
-        if request.lined:
-            request.lined = False
+        if request.in_origin_queue:
+            request.in_origin_queue = False
             self._line.remove(request)
             freed = self._give_place(request)
-        if not request.out and request.twin is None:
+        if not request.in_flight and request.hedge_node is None:
             del self._requests[request.id]
             if request.command is not None:
                 request.command.open -= 1
                 if not request.command.open:
                     del self._commands[request.command.name]
-        if request.leads:
+        if request.leads_flight:
             self._land(request, stored)
         if freed is not None:
             self._next_fetch(freed)
--- a/tests/decisions/test_outage.py
+++ b/tests/decisions/test_outage.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pebblepass.decisions import Action, Event, Outcome, Router, Send, SetTimer, TimerFired
-from pebblepass.decisions.origin import Outage, Store
+from pebblepass.decisions.origin import OriginState, Outage
 from tests.decisions.cases import MS, ORIGIN, S, Timeline, ended, fleet, request, settings, started
 
 CUT_S = 6
@@ -86,20 +86,20 @@
     assert site.router.limits()["a"] < before["a"] * 0.75
 
 
-def held(width: float) -> Store:
-    return Store(width, 1.0, 0.0, 0.0, 0.0, {})
+def held(width: float) -> OriginState:
+    return OriginState(width, 1.0, 0.0, 0.0, 0.0, {})
 
 
 def test_an_outage_is_three_in_a_row_and_ends_with_a_quick_answer_only() -> None:
     outage = Outage()
     for _ in range(2):
-        outage.unanswered(held(1.0))
-    assert outage.answered(quickly=True) is None
+        outage.record_unanswered(held(1.0))
+    assert outage.record_answer(quickly=True) is None
     for width in (2.0, 3.0, 4.0):
-        outage.unanswered(held(width))
-    assert outage.answered(quickly=False) is None
-    assert outage.answered(quickly=True) is None  # a slow one has come in between: too much to do
+        outage.record_unanswered(held(width))
+    assert outage.record_answer(quickly=False) is None
+    assert outage.record_answer(quickly=True) is None  # a slow one has come in between: too much to do
     for width in (5.0, 6.0, 7.0):
-        outage.unanswered(held(width))
-    assert outage.answered(quickly=True) == held(5.0)
-    assert outage.answered(quickly=True) is None
+        outage.record_unanswered(held(width))
+    assert outage.record_answer(quickly=True) == held(5.0)
+    assert outage.record_answer(quickly=True) is None
