Name the router's decisions in the field's terms

Need: patience, line, land, twin, haste, at ease, judge and the like had to be explained to a newcomer. Change: names and docstrings of router.py, and its tests' uses of them. _window, _line, _guards, _origin_bad, _heat, _usage, _caches, _origins, _requests and _flights stay: tests of the daemon, trials and scale name them. Behaviour unchanged.

--- a/tests/decisions/test_commands.py
+++ b/tests/decisions/test_commands.py
@@ -16,7 +16,7 @@
     SendKeys,
     Settings,
 )
-from pebblepass.decisions.router import COMMAND_FETCHES
+from pebblepass.decisions.router import FETCHES_PER_COMMAND
 from tests.decisions.cases import (
     MS,
     ORIGIN,
@@ -61,7 +61,7 @@
 def test_a_commands_misses_have_so_many_fetches_out_and_the_next_follows_each_end() -> None:
     router = started(settings(), fleet(5))
     fetches = [send for number in range(12) for send in missed(router, f"k{number}", command="c")]
-    assert [fetch.request for fetch in fetches] == [f"k{number}" for number in range(COMMAND_FETCHES)]
+    assert [fetch.request for fetch in fetches] == [f"k{number}" for number in range(FETCHES_PER_COMMAND)]
     for number in range(12):
         following = sends(router.handle(ended(fetches[number], Outcome.OK, attempt=1), 30 * MS))
         fetches += following
@@ -79,7 +79,7 @@
     router._window = 20.0  # all of them would have room now
     seen = list(out)
     while out:
-        assert len(out) <= COMMAND_FETCHES
+        assert len(out) <= FETCHES_PER_COMMAND
         out += sends(router.handle(ended(out.pop(0), Outcome.OK, attempt=1), 20 * MS))
         seen += [send for send in out if send not in seen]
     assert [send.request for send in seen] == [f"k{number}" for number in range(12)]
@@ -106,7 +106,7 @@
 
 def test_a_key_in_line_is_asked_of_the_cache_again_once_another_has_fetched_it() -> None:
     router = started(settings(), fleet(5))
-    for number in range(COMMAND_FETCHES):
+    for number in range(FETCHES_PER_COMMAND):
         missed(router, f"k{number}", command="c")
     assert missed(router, "same", command="c") == []
     single = only_send(router.handle(request("single", key="same"), 0))
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -318,7 +318,7 @@
         router.handle(ended(fetch, Outcome.RESET, 1), S + 200 * MS)
     once = guard.limit
     assert once < guard.cap
-    router._judge_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False, S)
+    router._record_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False, S)
     assert guard.limit == once
 
 
@@ -447,7 +447,7 @@
 
 def test_held_writes_do_not_loop_when_the_origin_entry_changes() -> None:
     router = started(settings(), ())
-    router._width = 3.0
+    router._write_limit = 3.0
     out = [only_send(router.handle(request(f"w{i}", cls="edit"), 0)) for i in range(3)]
     router.handle(ServersChanged(ListKind.DELTA, (replace(ORIGIN, started=1),)), 0)
     later = [sends(router.handle(request(f"h{i}", cls="edit"), 0)) for i in range(6)]
--- a/tests/decisions/test_window.py
+++ b/tests/decisions/test_window.py
@@ -21,7 +21,12 @@
     SetTimer,
     TimerFired,
 )
-from pebblepass.decisions.router import LINE, NARROWED, QUICK_SHARE, SLOW_FETCH_SHARE
+from pebblepass.decisions.router import (
+    QUEUED_PER_FETCH,
+    QUICK_FETCH_FRACTION,
+    SLOW_FETCH_FRACTION,
+    WINDOW_DECREASE,
+)
 from tests.decisions.cases import (
     MS,
     ORIGIN,
@@ -37,7 +42,7 @@
 )
 
 AIM = 300 * MS
-QUICK, SLOW = int(AIM * QUICK_SHARE), int(AIM * SLOW_FETCH_SHARE) + 1
+QUICK, SLOW = int(AIM * QUICK_FETCH_FRACTION), int(AIM * SLOW_FETCH_FRACTION) + 1
 
 
 def miss(router: Router, name: str, now: int, key: str = "") -> list[Action]:
@@ -49,7 +54,7 @@
 def narrowed(window: float = 1.0) -> Router:
     """A router whose window is that small, with quick fetches lately and none out."""
     router = started(settings(), fleet(4))
-    router._window, router._fetches.mean = window, 50 * MS
+    router._window, router._fetch_latency.mean = window, 50 * MS
     return router
 
 
@@ -62,10 +67,10 @@
     out = [fetch(router, f"f{number}", S) for number in range(40)]
     assert router._window == math.inf
     router.handle(ended(out[0], Outcome.OK, 1, latency=SLOW), S + SLOW)
-    assert router._window == pytest.approx(40 * NARROWED)
+    assert router._window == pytest.approx(40 * WINDOW_DECREASE)
     # One round-trip's slow fetches are one sign.
     router.handle(ended(out[1], Outcome.OK, 1, latency=SLOW), S + SLOW)
-    assert router._window == pytest.approx(40 * NARROWED)
+    assert router._window == pytest.approx(40 * WINDOW_DECREASE)
     before = router._window
     router.handle(ended(out[2], Outcome.OK, 1, latency=QUICK), S + SLOW)
     assert router._window == pytest.approx(before + 1 / before)
@@ -76,7 +81,7 @@
     limits, late = router.limits(), AIM + MS
     for send in [fetch(router, f"f{number}", S) for number in range(6)]:
         router.handle(ended(send, Outcome.OK, 1, latency=late), S + late)
-    assert router._window == pytest.approx(6 * NARROWED)
+    assert router._window == pytest.approx(6 * WINDOW_DECREASE)
     assert router.limits() == limits
     # Of one that was out alone the origin itself is slow: that lateness counts.
     router._window, now = 1.0, 2 * S
@@ -114,7 +119,7 @@
 def test_a_line_that_is_full_refuses_at_once_whom_fewest_wait_for() -> None:
     router = narrowed()
     fetch(router, "out", S)
-    names = [f"l{number}" for number in range(LINE)]
+    names = [f"l{number}" for number in range(QUEUED_PER_FETCH)]
     for name in names:
         miss(router, name, S)
     for number in range(2):
@@ -130,11 +135,11 @@
     fetch(router, "out", S)
     (timer,) = miss(router, "waits", S)
     assert isinstance(timer, SetTimer)
-    assert timer.delay == int(AIM * SLOW_FETCH_SHARE) - 50 * MS  # a usual fetch still fits behind it
+    assert timer.delay == int(AIM * SLOW_FETCH_FRACTION) - 50 * MS  # a usual fetch still fits behind it
     (refused,) = finals(router.handle(TimerFired(timer.token), S + timer.delay))
     assert isinstance(refused, Refuse)
     assert refused.reason is Reason.LIMIT
-    router._fetches.mean = float(AIM)
+    router._fetch_latency.mean = float(AIM)
     (at_once,) = finals(miss(router, "hopeless", S))
     assert at_once.request == "hopeless"
     assert not router._line
