--- /dev/null
+++ b/pebblepass/decisions/health.py
@@ -0,0 +1,182 @@
+"""Health of servers as this router observes it: latency, time-outs, and a send probability.
+
+All times are whole nanoseconds on the caller's clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from hashlib import blake2b
+
+from pebblepass.decisions import interface as api
+from pebblepass.decisions.interface import NS_PER_S, Outcome
+
+# A server's send probability: how an attempt's outcome changes it, and how long it takes to recover.
+LATE_DECREASE, SUCCESS_INCREASE = 0.25, 0.2  # factor for a late answer; added by one in time
+MIN_PROBABILITY = 0.05  # of a server that can be reached
+UNREACHABLE_PROBABILITY = -0.02  # below 0: none, until the clock has restored it
+# A queue that made one answer late has drained within two seconds, whoever sent the requests; a server that
+# rejects or does not answer stays so for longer; an unreachable one is for discovery to remove. Recovery is
+# by the clock, not by this router's own answers: a router that asks a server once in three seconds would go
+# on refusing for half a minute what forty like it could have had served.
+LATE_RECOVERY_NS, OVERLOAD_RECOVERY_NS, UNREACHABLE_RECOVERY_NS = 2 * NS_PER_S, 8 * NS_PER_S, 60 * NS_PER_S
+TIMEOUT_HOLD_NS = 4 * NS_PER_S  # before recovery begins: half of the requests in this time go unanswered too
+CONNECT_BACKOFF_NS, MAX_CONNECT_DOUBLINGS = NS_PER_S, 4  # first pause after a rejected connection; doublings
+HISTORY_SIZE = 32  # attempts kept in an AttemptHistory
+SMOOTHING = 16  # samples over which latencies are averaged
+
+
+class LatencyEstimate:
+    """Exponentially weighted moving average of latencies in nanoseconds, and of their absolute deviation."""
+
+    def __init__(self, initial: float = 0.0) -> None:
+        self.mean = self.deviation = initial
+        self.sample_weight = (
+            0.0  # fraction of the mean that comes from samples; the rest is the initial value
+        )
+
+    def record(self, latency: int) -> None:
+        """Add one sample."""
+        difference = latency - self.mean
+        self.mean += difference / SMOOTHING
+        self.deviation += (abs(difference) - self.deviation) / SMOOTHING
+        self.sample_weight += (1 - self.sample_weight) / SMOOTHING
+
+    def expected(self, prior: float) -> float:
+        """Return the latency to expect if the estimate began at 0: `prior` stands in for missing samples.
+
+        Without the prior a server that has just joined would look faster than any other.
+        """
+        return self.mean + (1 - self.sample_weight) * prior
+
+
+class AttemptHistory:
+    """The last attempts at any server, to estimate the probability of an answer within some time."""
+
+    def __init__(self) -> None:
+        self._attempts: deque[tuple[int, bool]] = deque(maxlen=HISTORY_SIZE)
+
+    def record(self, duration: int, answered: bool) -> None:
+        """Add one attempt; without an answer, `duration` is how long it was waited for."""
+        self._attempts.append((duration, answered))
+
+    def answer_probability(self, time: int) -> float:
+        """Estimate the probability of an answer within `time`; 1 without evidence.
+
+        An attempt that was abandoned earlier than `time` is no evidence and is left out.
+        """
+        in_time = sum(1 for duration, answered in self._attempts if answered and duration <= time)
+        conclusive = sum(1 for duration, answered in self._attempts if answered or duration >= time)
+        return (in_time + 1) / (conclusive + 1)
+
+
+class Node:
+    """A ready server: this router's outstanding attempts at it, and its health."""
+
+    def __init__(self, entry: api.Server, weighted: bool) -> None:
+        self.entry, self.load = entry, 0  # load: attempts outstanding
+        self.weight = entry.weight if weighted else 1.0
+        self.hash_seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
+        self.unreachable = False
+        self.consecutive_unanswered = self.last_outcome_at = 0
+        self.latency = LatencyEstimate()
+        self._probability, self._recovers_from, self._recovery_time = 1.0, 0, LATE_RECOVERY_NS
+        self._connect_rejections, self._next_connect_at = 0, 0
+        self.unanswered_at = -TIMEOUT_HOLD_NS
+        """When its last attempt ended, if that was without an answer, however short its time was."""
+
+    def send_probability(self, now: int) -> float:
+        """Return the probability with which a request is sent here; it recovers linearly with time.
+
+        The time counts from the last outcome: the zero of the clock may lie any time back.
+        """
+        if self._probability >= 1.0:
+            return 1.0
+        return min(1.0, self._probability + max(now - self._recovers_from, 0) / self._recovery_time)
+
+    @property
+    def healthy(self) -> bool:
+        """Whether no failure is on record: full send probability, and no rejected connection."""
+        return self._probability >= 1.0 and not self._connect_rejections
+
+    def avoided(self, now: int) -> bool:
+        """Whether it is unreachable, or has no more than the least probability."""
+        probability = self.send_probability(now)
+        return (self.unreachable and probability < 1.0) or probability <= MIN_PROBABILITY
+
+    def may_connect(self, now: int) -> bool:
+        """Whether the back-off after a rejected connection is over."""
+        return now >= self._next_connect_at
+
+    def record_connect_rejection(self, now: int, rng: random.Random) -> None:
+        """The server accepts no more connections: back off exponentially, with jitter.
+
+        The pauses bound the dials of many routers at one full server; jitter keeps them apart.
+        """
+        self._next_connect_at = now + int(
+            rng.uniform(0.5, 1.0) * (CONNECT_BACKOFF_NS << self._connect_rejections)
+        )
+        self._connect_rejections = min(self._connect_rejections + 1, MAX_CONNECT_DOUBLINGS)
+
+    def record_outcome(self, outcome: Outcome, late: bool, now: int) -> None:
+        """Update the health by an attempt's outcome; an error in time changes nothing."""
+        probability, hold = self.send_probability(now), 0
+        answered = outcome in (Outcome.OK, Outcome.MISS)
+        lost = outcome in (Outcome.TIMEOUT, Outcome.RESET)
+        self.last_outcome_at = now
+        self.consecutive_unanswered = self.consecutive_unanswered + 1 if lost else 0
+        repeated = self.consecutive_unanswered > 1
+        if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and repeated):
+            probability, self.unreachable = UNREACHABLE_PROBABILITY, True
+            self._recovery_time = UNREACHABLE_RECOVERY_NS
+        elif late or outcome is Outcome.FULL or repeated:
+            timed_out = outcome is Outcome.TIMEOUT
+            probability = MIN_PROBABILITY if timed_out else max(probability * LATE_DECREASE, MIN_PROBABILITY)
+            self._recovery_time = LATE_RECOVERY_NS if answered else OVERLOAD_RECOVERY_NS
+            hold = TIMEOUT_HOLD_NS if timed_out else 0
+        elif answered:
+            probability, self.unreachable = min(1.0, probability + SUCCESS_INCREASE), False
+            self._connect_rejections = self._next_connect_at = 0
+        self._probability, self._recovers_from = probability, now + hold
+
+    def export_state(self) -> api.NodeKnown:
+        """Return the health on record, for another router."""
+        return api.NodeKnown(
+            self.entry.id,
+            self.entry.started,
+            self.last_outcome_at,
+            1.0,
+            self._probability,
+            self._recovers_from,
+            self._recovery_time,
+            self.unreachable,
+            self.consecutive_unanswered,
+            self._connect_rejections,
+            self._next_connect_at,
+            self.latency.mean,
+            self.latency.deviation,
+            self.latency.sample_weight,
+        )
+
+    def import_state(self, known: api.NodeKnown) -> None:
+        """Take over another router's record if it is newer than the own; latencies count by its weight."""
+        # A server that has started since has lost its queue and its faults, and its cache is cold.
+        if known.started != self.entry.started or known.heard_at <= self.last_outcome_at:
+            return
+        self.last_outcome_at, self.unreachable = known.heard_at, known.down
+        self.consecutive_unanswered = known.unheard
+        self._probability, self._recovers_from = known.chance, known.judged_at
+        self._recovery_time = known.regain
+        self._connect_rejections, self._next_connect_at = known.crowded, known.room_at
+        self.latency.mean = known.usual * known.weight
+        self.latency.deviation = known.spread * known.weight
+        self.latency.sample_weight = known.sampled * known.weight
+
+
+def is_connection_failure(event: api.AttemptEnded, late: bool) -> bool:
+    """Whether an outcome concerns its connection alone, and not the server.
+
+    A connection that could not be set up does so however long that took; any other only if it was not late.
+    """
+    return event.stale and (event.outcome is Outcome.CONNECT_FAILED or not late)
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -23,7 +23,7 @@
     Tenant,
     TimerFired,
 )
-from pebblepass.decisions.logic import CUT
+from pebblepass.decisions.suppressor import LIMIT_DECREASE
 from tests.decisions.cases import (
     MS,
     ORIGIN,
@@ -223,7 +223,7 @@
         tenant = "a" if i % 3 == 0 else "b"
         for send in sends(router.handle(request(f"r{i}", tenant=tenant), 0)):
             router.handle(ended(send, Outcome.OK), 0)
-    router._caches.nodes[fleet(1)[0].id].judge(Outcome.OK, True, 0)
+    router._caches.nodes[fleet(1)[0].id].record_outcome(Outcome.OK, True, 0)
     served = {"a": 0, "b": 0}
     for i in range(600):
         tenant = "a" if i % 3 == 0 else "b"
@@ -304,7 +304,7 @@
             outcome = Outcome.RESET if i > 57 else Outcome.OK
             router.handle(ended(fetch, outcome, 1, closed=True), now)
     used_a, used_b = (guard.accepted(2 * S) / guard.window_s for guard in (a, b))
-    assert b.limit / used_b < CUT < a.limit / used_a
+    assert b.limit / used_b < LIMIT_DECREASE < a.limit / used_a
 
 
 def test_cuts_come_once_an_origin_round_trip() -> None:
@@ -318,7 +318,7 @@
         router.handle(ended(fetch, Outcome.RESET, 1), S + 200 * MS)
     once = guard.limit
     assert once < guard.cap
-    router._judge_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False, S)
+    router._record_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False, S)
     assert guard.limit == once
 
 
@@ -447,7 +447,7 @@
 
 def test_held_writes_do_not_loop_when_the_origin_entry_changes() -> None:
     router = started(settings(), ())
-    router._width = 3.0
+    router._write_limit = 3.0
     out = [only_send(router.handle(request(f"w{i}", cls="edit"), 0)) for i in range(3)]
     router.handle(ServersChanged(ListKind.DELTA, (replace(ORIGIN, started=1),)), 0)
     later = [sends(router.handle(request(f"h{i}", cls="edit"), 0)) for i in range(6)]
@@ -524,4 +524,4 @@
     other = only_send(router.handle(ended(first, Outcome.CONNECT_FAILED, latency=late, stale=True), late))
     assert other.server not in (first.server, ORIGIN.id)
     assert router.avoided(late) == []
-    assert router._caches.nodes[first.server].sound
+    assert router._caches.nodes[first.server].healthy
