Let the new tests name the modules into which the decisions were split

Need: three files of tests were written beside the split. Measured: the files named and tests/decisions run green with this commit.

--- a/tests/daemon/test_pipelined_forms.py
+++ b/tests/daemon/test_pipelined_forms.py
@@ -22,7 +22,9 @@
 
 from pebblepass.daemon import clients
 from pebblepass.daemon.clients import MAX_PIPELINE, Reply
-from pebblepass.decisions.logic import Node, Request, Router
+from pebblepass.decisions.health import Node
+from pebblepass.decisions.requests import Request
+from pebblepass.decisions.router import Router
 from pebblepass.wire.resp import MAX_VALUE, Command, CommandReader, UnknownCommandError, parse_request
 from tests.crossings import Bed, ClientLine, Peer, PeerLine, crossing
 from tests.sockets import MISS, bulk, hit, http_answer
@@ -425,7 +427,7 @@
 
 def tried_once(router: Router, request: Request) -> bool:
     """Broken: nothing is tried again."""
-    return request.sends < 1
+    return request.attempts < 1
 
 
 @pytest.mark.parametrize(
--- a/tests/decisions/test_throng.py
+++ b/tests/decisions/test_throng.py
@@ -29,7 +29,9 @@
     Settings,
     TimerFired,
 )
-from pebblepass.decisions.logic import SLOTS, Heat, Node, SlotTable
+from pebblepass.decisions.health import Node
+from pebblepass.decisions.hot_keys import Heat
+from pebblepass.decisions.slot_table import SLOTS, SlotTable
 from tests.decisions.cases import MS, S, Timeline, ended, fleet, request, sends, settings, started
 from tests.decisions.cold_starts import ColdRules, Start, heaviest
 
--- a/tests/membership/test_late_silence.py
+++ b/tests/membership/test_late_silence.py
@@ -30,7 +30,7 @@
     Subscribe,
     TimerFired,
 )
-from pebblepass.decisions.logic import SlotTable
+from pebblepass.decisions.slot_table import SlotTable
 from pebblepass.membership.pace import Call, Pace
 from pebblepass.membership.registry import Clock, Discovery, Listing
 from pebblepass.rehearsal.clock import VirtualLoop
