Take in a fleet that dials a voter at once, and queue 2,048 connections at its door

Cause: after a voter's start all routers dial it within 2 s. Those accepted in one turn of the loop count as strangers until they are read, and 32 of these were taken; the queue of the listener was the default of 100. The rest were closed, or waited for the kernel to ask again. Change: a stranger may have the place of a member that has not come, beside the 32 as before. The sum is what the descriptors' split sets aside already (coming and strangers), so nobody loses one. A router that does not vote expects nobody, as before. The listener's queue is 2,048; the kernel caps it at its own limit. A fleet of 1,100 over real links was not run here.

--- a/pebblepass/agreement/service.py
+++ b/pebblepass/agreement/service.py
@@ -67,7 +67,9 @@
         self.member = self.member_class(setup, records, now())
         if self._log is not None and records is None:
             self._log.begin([m.encode(self.member.summary())])
-        self.links = Links(loop, fleet, setup.name, setup.boot, self._take, self._known)
+        self.links = Links(
+            loop, fleet, setup.name, setup.boot, self._take, self._known, self._expected_links
+        )
         self.counts: Counter[str] = Counter()
         """Messages, writes and failed writes."""
         self._worker = ThreadPoolExecutor(1) if self._log is not None else None
@@ -117,6 +119,12 @@
     def _known(self, name: str) -> bool:
         return name in self.member.decided.fleet.members or name in self.member.setup.genesis.fleet.members
 
+    def _expected_links(self) -> int:
+        """How many routers dial this one: all others, if it is a voter."""
+        fleet = self.member.decided.fleet
+        voters = fleet.voters or self.member.setup.genesis.fleet.voters
+        return len(fleet.members) - 1 if self.member.name in voters else 0
+
     def _take(self, name: str, data: bytes) -> None:
         message = m.read_message(data)
         if message.sender.name != name:
--- a/pebblepass/peers/links.py
+++ b/pebblepass/peers/links.py
@@ -26,7 +26,8 @@
 MOST_QUEUED = 1 << 20  # bytes that wait for a slow peer; what comes beyond is dropped, as a cut would
 HELLO_S = 2.0  # in which a newcomer says who it is
 FIRST_BACKOFF_S, MOST_BACKOFF_S = 0.05, 2.0
-STRANGERS = 32  # connections that have not said who they are
+STRANGERS = 32  # connections that have not said who they are, beyond the places of members that have not come
+BACKLOG = 2048  # connections that wait to be accepted: after a voter's start all of a fleet dial it at once
 
 log = logging.getLogger("pebblepass")
 
@@ -144,10 +145,14 @@
         boot: str,
         take: Callable[[str, bytes], None],
         known: Callable[[str], bool],
+        expected: Callable[[], int] = lambda: 0,
     ) -> None:
-        """`take` gets each message with its sender's name, and raises ValueError where it can't be read."""
+        """`take` gets each message with its sender's name, and raises ValueError where it can't be read.
+
+        `expected`: how many routers keep a link to this one.
+        """
         self.loop, self.fleet, self.name, self.boot = loop, fleet, name, boot
-        self.take, self.known = take, known
+        self.take, self.known, self.expected = take, known, expected
         self.closed: Counter[str] = Counter()
         """Links closed and messages dropped, by cause."""
         self._dialled: dict[str, Link] = {}
@@ -160,7 +165,7 @@
 
     async def listen(self, address: Address) -> None:
         """Take links; raises OSError where the address can't be had."""
-        self._server = await self.loop.create_server(lambda: Link(self), *address)
+        self._server = await self.loop.create_server(lambda: Link(self), *address, backlog=BACKLOG)
 
     def stop_listening(self) -> None:
         """Take no more links: another process of this router does."""
@@ -201,7 +206,9 @@
         if link.expected:
             return True
         self._strangers.add(link)
-        return len(self._strangers) <= STRANGERS
+        # All of a fleet may come before one of them is read: those that are missing have places of their own.
+        missing = max(self.expected() - len(self._came), 0)
+        return len(self._strangers) <= STRANGERS + missing
 
     def up(self, link: Link) -> None:
         """The other side has said who it is; the newest link to a router counts."""
