Test one real router with 1,100 servers and 1,100 peers, and what lists and handover take

Need: no bound was tested at a fleet of more than 930 routers and 200 servers, and the request path had not been run with more than 120. Change: tests only. A process is started with 1,100 entries in `peers` and `known`; it takes one whole list and one change of all addresses, and answers PING and 300 keys after each. The 10 s are those of the standing test; the memory is held to 96 MB, the half of its 192 over which memory is priced. A second test upgrades a process of 80 MB and 256 descriptors before 1,100 servers while discovery fails. A list and an account of 1,100 stay far within their bounds.

--- a/pebblepass/agreement/service.py
+++ b/pebblepass/agreement/service.py
@@ -67,9 +67,7 @@
         self.member = self.member_class(setup, records, now())
         if self._log is not None and records is None:
             self._log.begin([m.encode(self.member.summary())])
-        self.links = Links(
-            loop, fleet, setup.name, setup.boot, self._take, self._known, self._expected_links
-        )
+        self.links = Links(loop, fleet, setup.name, setup.boot, self._take, self._known, self._expected_links)
         self.counts: Counter[str] = Counter()
         """Messages, writes and failed writes."""
         self._worker = ThreadPoolExecutor(1) if self._log is not None else None
--- a/pebblepass/control/operations.py
+++ b/pebblepass/control/operations.py
@@ -15,7 +15,7 @@
 # Each place is a descriptor, and a caller may stay for seconds and say nothing: a newcomer gets its place.
 BOUNDS = Bounds(connections=CALLERS, head=4 << 10, waiting=1, idle_s=2.0, one_call=True, make_room=True)
 
-MOST_POLICY = 256 << 10  # bytes of a policy's file: one that names 1,100 routers takes up to 110 KB
+MOST_POLICY = 256 << 10  # bytes of a policy's file: 1,100 routers with long names take 106 KB
 
 
 class Told(Struct, frozen=True):
--- /dev/null
+++ b/tests/daemon/test_large_fleet.py
@@ -0,0 +1,143 @@
+"""One real router, with 1,100 peers and 1,100 cache servers: start, memory, a list, a change of all."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from pebblepass.standins.ports import take_port
+from tests.daemon.test_operations import figures
+from tests.daemon.test_upgrade import site
+from tests.sockets import (
+    FACTS,
+    PATIENCE_S,
+    DiscoveryPeer,
+    Peer,
+    Routed,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    is_ready,
+    start_router,
+)
+
+SERVERS = PEERS = 1100
+KEYS = 300
+READY_S = 10.0  # in which nine in ten restarted routers have to be ready
+LIMIT_MB = 192  # over which the platform kills a router
+PRICED_KB = LIMIT_MB * 1024 // 2  # memory over half of the limit is priced
+
+
+def addresses(count: int) -> list[str]:
+    return [f"10.3.{number >> 8}.{number & 255}:7946" for number in range(count)]
+
+
+def servers(peer: Peer, started_ms: int = 0) -> list[dict[str, Any]]:
+    return [{**entry(peer, f"s-{number:08x}"), "startedAtMs": started_ms} for number in range(SERVERS)]
+
+
+def configuration(discovery: DiscoveryPeer, port: int, known: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        "name": "n1",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery.peer.port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": LIMIT_MB, "sockets": 1024},
+        "peer_listen": "127.0.0.1:7946",
+        "peers": addresses(PEERS),
+        "peers_all": "10.3.255.1:7946",
+        "known": {"generation": 0, "reset": True, "instances": known},
+        "settings": {**FACTS, "balancers": PEERS},
+    }
+
+
+@contextmanager
+def running(folder: Path, discovery: DiscoveryPeer, known: list[dict[str, Any]]) -> Iterator[Routed]:
+    """A router that is ready in time, and that ends well."""
+    port = take_port()
+    began = time.monotonic()
+    process = start_router(folder, configuration(discovery, port, known))
+    try:
+        eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
+        took = time.monotonic() - began
+        print(f"ready after {took:.2f} s")
+        assert took < READY_S
+        yield Routed(process, port, discovery, folder / "config.json")
+    finally:
+        if process.poll() is None:
+            process.terminate()
+        _, log = process.communicate(timeout=PATIENCE_S)
+    assert process.returncode == 0, log
+    assert "Traceback" not in log, log
+
+
+def peak_kb(router: Routed, when: str) -> int:
+    """The most memory that it has held so far; printed, with its CPU so far."""
+    status = Path(f"/proc/{router.process.pid}/status").read_text()
+    peak = int(status.split("VmHWM:")[1].split()[0])
+    used = Path(f"/proc/{router.process.pid}/stat").read_text().rpartition(") ")[2].split()[11:13]
+    cpu = sum(map(int, used)) / os.sysconf("SC_CLK_TCK")
+    print(f"{when}: {router.memory_kb()} KB, {peak} at the peak, {cpu:.2f} s of CPU")
+    return peak
+
+
+def asks_for(discovery: DiscoveryPeer, generation: int) -> bool:
+    """Whether the router has taken this list: its next call names the version."""
+    return any(f"index={generation}&".encode() in message[1] for message in list(discovery.peer.seen))
+
+
+def answers(router: Routed, expected: bytes, run: str) -> None:
+    client = router.client()
+    assert client.ask(bulk(b"PING")) == b"+PONG"
+    for number in range(KEYS):
+        assert client.ask(get(f"{run}{number}", f"key-{number}")) == expected
+    client.close()
+
+
+def test_a_router_bears_1100_servers_and_1100_peers(tmp_path: Path) -> None:
+    def answer(value: bytes) -> Peer:
+        return Peer(lambda _, words: hit(value))
+
+    first, second = answer(b"first"), answer(b"second")
+    discovery = DiscoveryPeer(servers(first))
+    with running(tmp_path, discovery, servers(first)) as router:
+        eventually(lambda: asks_for(discovery, 1), "the whole list is taken")
+        peaks = [peak_kb(router, "with the whole list")]
+        answers(router, b"first", "a")
+        peaks.append(peak_kb(router, f"after {KEYS} keys"))
+        assert len({message[1] for message in first.seen}) == KEYS
+
+        began = time.monotonic()
+        discovery.change(*servers(second, started_ms=int(time.time() * 1000) - 60_000))
+        eventually(lambda: asks_for(discovery, 2), "the change of all is taken")
+        print(f"a change of all {SERVERS} taken after {time.monotonic() - began:.3f} s")
+        seen = len(first.seen)
+        answers(router, b"second", "b")
+        peaks.append(peak_kb(router, f"after the change and {KEYS} keys"))
+        assert len(first.seen) == seen  # nothing goes to an address that is no longer listed
+        assert max(peaks) < PRICED_KB
+    for peer in (first, second, discovery.peer):
+        peer.close()
+
+
+def test_an_upgrade_before_1100_servers_goes_on_with_all_of_them(tmp_path: Path) -> None:
+    """The successor has the list from the older process: discovery says nothing of use meanwhile."""
+    peer = Peer(lambda _, words: hit(b"v"))
+    with site(tmp_path, {f"s-{number:08x}": peer for number in range(SERVERS)}) as made:
+        old, _ = made.start()
+        clients = [made.client() for _ in range(20)]
+        for number, client in enumerate(clients):
+            assert client.ask(get(f"a{number}", f"key-{number}")) == b"v"
+        made.discovery.junk = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+        new, ops = made.start()
+        made.end(old)
+        for number, client in enumerate(clients):
+            assert client.ask(get(f"b{number}", f"key-{number}")) == b"v"
+        assert figures(ops)["cluster_size"] == SERVERS
+        assert new.poll() is None
