--- a/pebblepass/rehearsal/scenario.py
+++ b/pebblepass/rehearsal/scenario.py
@@ -39,7 +39,12 @@
 ]
 TroubleKind = Literal["burst", "invalidation", "one-time", "skew"]
 
+MOST_PROCESSES = 2048
+"""Routers, and mirror nodes, that a scenario may have."""
+
 Positive = Annotated[float, Meta(gt=0)]
+RouterCount = Annotated[int, Meta(ge=1, le=MOST_PROCESSES, description="routers of all data centres")]
+NodeCount = Annotated[int, Meta(ge=1, le=MOST_PROCESSES, description="mirror nodes of all data centres")]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Place = Annotated[int, Meta(ge=0)]
 
@@ -67,8 +72,8 @@
         "mladost",
         "druzhba",
     )
-    routers: Annotated[int, Meta(ge=1, le=64, description="routers, dealt over the data centres")] = 3
-    nodes: Annotated[int, Meta(ge=1, le=512, description="mirror nodes, dealt over the data centres")] = 12
+    routers: RouterCount = 3
+    nodes: NodeCount = 12
     cross_ms: Annotated[Range, Meta(description="one way between two data centres")] = Range(2.8, 5.2)
     same_ms: Annotated[Range, Meta(description="one way within a data centre")] = Range(0.11, 0.32)
     told_s: Annotated[Range, Meta(description="a change of the list reaches a router so much later")] = Range(
