--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -23,5 +23,5 @@
 
 
 def test_a_fleet_without_bound_is_refused(tmp_path: Path) -> None:
-    with pytest.raises(FileError, match="fleet.routers"):
+    with pytest.raises(FileError, match=r"fleet\.routers"):
         scenario_of(tmp_path, MOST_PROCESSES + 1, 1)
