Hold every attempt's advertised timeout against what its client has left

The platform's term: the time that an attempt tells its server (`d`) is never above what is left to the client when the attempt's bytes are written. Nothing in a rehearsal looked at it.

The stand-ins report to the witness what each attempt advertises (single reads, writes, reads of many keys; GET and PUT at the store), with the times of its first and last byte; a missing or malformed `d` is reported as such. The referee has a fifth rule on it, for first and further attempts, and a count that goes into the report, the terminal's output and the page. The client's deadline is the one that its request states: its `d`, counted from its last byte.

Slack: the time that bytes are under way, and none for sockets. On the virtual clock that is nothing, so 1 us is left for the rounding of times; in real time it is the clock's 0.1 s.

--- /dev/null
+++ b/pebblepass/rehearsal/deadlines.py
@@ -0,0 +1,54 @@
+"""Deadline propagation held against what clients have left: the check and the count; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from pebblepass.standins.advertised import AdvertisedTimeout
+
+US_PER_S, US_PER_MS = 1_000_000, 1000
+
+
+@dataclass(slots=True)
+class DeadlineCount:
+    """Attempts, and those that advertised more time than their client had left."""
+
+    attempts: int = 0
+    further: int = 0
+    """Attempts that were not the first at their request."""
+    above: int = 0
+    """Attempts that advertised more than was left, by more than the clock's slack."""
+    unreadable: int = 0
+    """Attempts without a timeout that can be read."""
+    largest_excess_us: int = 0
+    """By how much at most more was advertised than was left, within the slack or beyond it."""
+
+    def take(self, excess_us: int | None, is_further: bool, is_above: bool) -> None:
+        """Count an attempt; an excess of None: its timeout can't be read."""
+        self.attempts += 1
+        self.unreadable += excess_us is None
+        self.further += is_further
+        self.above += is_above
+        self.largest_excess_us = max(self.largest_excess_us, excess_us or 0)
+
+    def report(self) -> dict[str, Any]:
+        """The figures of a report."""
+        return {
+            "attempts": self.attempts,
+            "further_attempts": self.further,
+            "above_what_was_left": self.above,
+            "unreadable": self.unreadable,
+            "largest_excess_ms": self.largest_excess_us / US_PER_MS,
+        }
+
+
+def excess_us(advertised: AdvertisedTimeout, client_deadline: float) -> int | None:
+    """Microseconds advertised beyond what the client had left at the attempt's first byte; below 0: fewer.
+
+    None: no timeout can be read. Whole microseconds: both ends round times of their own to nanoseconds.
+    """
+    if advertised.timeout_ms is None:
+        return None
+    left_us = round((client_deadline - advertised.first_byte_at) * US_PER_S)
+    return advertised.timeout_ms * US_PER_MS - left_us
--- a/pebblepass/rehearsal/front.py
+++ b/pebblepass/rehearsal/front.py
@@ -157,6 +157,7 @@
     def _send(self) -> None:
         ask, cls = self._asking.ask, self._asking.cls
         left = max(1, int((self._begun + self._patience - self._front.loop.time()) * 1000))
+        self._timeout = left / 1000
         info = f"c={cls.name},t={ask.namespace},d={left}"
         words = [b"KV.SET" if cls.write else b"KV.GET", ask.key.encode(), self._id.encode()]
         if cls.effect == "keyed":
@@ -170,7 +171,8 @@
 
     def _taken(self) -> None:
         self._was_taken = True
-        self._front.referee.taken(self._id, self._router, self._begun + self._patience)
+        client_deadline = self._front.loop.time() + self._timeout
+        self._front.referee.taken(self._id, self._router, self._begun + self._patience, client_deadline)
 
     def _end(self, outcome: str, unseen: bool = False) -> None:
         for timer in self._timers:
@@ -258,6 +260,7 @@
     def _send(self) -> None:
         asks, cls = self._asks, self._cls
         left = max(1, int((self._begun - self._front.loop.time()) * 1000 + cls.deadline_ms))
+        self._timeout = left / 1000
         keys = [ask.key.encode() for ask in asks]
         info = f"c={cls.name},t={asks[0].namespace},d={left}".encode()
         words = (b"KV.MGET", b"%d" % len(keys), *keys, self._name.encode(), info)
@@ -267,9 +270,10 @@
 
     def _taken(self) -> None:
         self._was_taken = True
+        deadline = self._begun + self._cls.deadline_ms / 1000
+        client_deadline = self._front.loop.time() + self._timeout
         for request in self._ids:
-            deadline = self._begun + self._cls.deadline_ms / 1000
-            self._front.referee.taken(request, self._router, deadline)
+            self._front.referee.taken(request, self._router, deadline, client_deadline)
 
     def _end(self, outcomes: list[str], unseen: bool = False) -> None:
         self._timer.cancel()
--- a/pebblepass/rehearsal/page.py
+++ b/pebblepass/rehearsal/page.py
@@ -42,6 +42,15 @@
     return rows
 
 
+def deadline_line(told: dict[str, Any]) -> str:
+    """What attempts advertised of their clients' time, in one line."""
+    return (
+        f"attempts: {told['attempts']}, of which {told['further_attempts']} further ones; "
+        f"advertised more than was left: {told['above_what_was_left']} "
+        f"(by {told['largest_excess_ms']:.3f} ms at most); unreadable: {told['unreadable']}"
+    )
+
+
 def as_page(report: dict[str, Any]) -> str:
     """The whole page."""
     scale, service, series = report["scale"], report["service"], report["series"]
@@ -86,7 +95,7 @@
                 for cls, tally in classes.items()
             ],
         ),
-        "<h2>The four rules</h2>",
+        "<h2>The five rules</h2>",
         _table(
             ("rule", "held", "breaches"),
             [
@@ -94,6 +103,7 @@
                 for rule, told in report["rules"].items()
             ],
         ),
+        f"<p>{escape(deadline_line(report['deadlines']))}</p>",
     ]
     head = f"<meta charset='utf-8'><title>{escape(report['scenario'])}</title><style>{STYLE}</style>"
     return f"<!doctype html><html lang='en'><head>{head}</head><body>{''.join(parts)}</body></html>\n"
--- a/pebblepass/rehearsal/referee.py
+++ b/pebblepass/rehearsal/referee.py
@@ -1,4 +1,4 @@
-"""The four rules, checked on the kit's own count; no I/O.
+"""The five rules, checked on the kit's own count; no I/O.
 
 It is told what clients, nodes, the store and the registry saw, and holds it against the rules as PROTOCOL
 and BRIEF word them. Times are seconds of whichever clock the rehearsal runs on.
@@ -10,6 +10,8 @@
 from enum import Enum
 from hashlib import sha256
 
+from pebblepass.rehearsal.deadlines import US_PER_MS, US_PER_S, DeadlineCount, excess_us
+from pebblepass.standins.advertised import AdvertisedTimeout
 from pebblepass.standins.effects import Doubled
 
 DRAIN_GRACE_S = 0.5
@@ -25,6 +27,7 @@
     ONCE = "no effect twice"
     DRAINED = "drains kept"
     COLD = "no cold node pushed over"
+    DEADLINE = "no attempt advertises more time than its client has left"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,19 +43,28 @@
 class _Asked:
     router: str
     deadline: float
+    client_deadline: float
     answered_at: float | None = None
     sent: bool = False
     spoilt: bool = False
+    advertised: int = 0
+    """Attempts that have advertised a timeout."""
 
 
 class Referee:
     """A witness that knows the rules."""
 
-    def __init__(self, slack: float) -> None:
-        """`slack`: how much later than its cause a thing may be seen on this clock, in seconds."""
+    def __init__(self, slack: float, transit_slack: float | None = None) -> None:
+        """`slack`: how much later than its cause a thing may be seen on this clock, in seconds.
+
+        `transit_slack`: how long bytes may be under way between a router and a stand-in, either way, in
+        seconds; None: as `slack`.
+        """
         self._slack = slack
+        self._transit_slack = slack if transit_slack is None else transit_slack
         self.breaches: list[Breach] = []
         self.attempts: dict[str, int] = {}
+        self.deadlines = DeadlineCount()
         self.pushed: list[str] = []
         self.trace = sha256()
         """Every attempt and every answer with its time, for comparing runs."""
@@ -65,9 +77,14 @@
 
     # Clients
 
-    def taken(self, request: str, router: str, deadline: float) -> None:
-        """A request is written to a connection that the router's machine has accepted."""
-        self._asked[request] = _Asked(router, deadline)
+    def taken(self, request: str, router: str, deadline: float, client_deadline: float | None = None) -> None:
+        """A request is written whole to a connection that the router's machine has accepted.
+
+        `deadline`: until when its client waits. `client_deadline`: the end of the time that the request
+        states (`d`, counted from its last byte), which is earlier by what the client rounds; None: the same.
+        """
+        by_request = deadline if client_deadline is None else client_deadline
+        self._asked[request] = _Asked(router, deadline, by_request)
 
     def answered(self, request: str, now: float) -> None:
         """A request has its final answer."""
@@ -121,6 +138,31 @@
             what = f"{asked.router} sent to {server} {now - told_at:.3f} s after it was told: {state}"
             self._break(Rule.DRAINED, now, f"{request}: {what}")
 
+    def timeout_advertised(self, advertised: AdvertisedTimeout) -> None:
+        """Hold the timeout that an attempt advertises against what its client has left.
+
+        Slack: the time that bytes are under way, and none beside. A router reckons the timeout as it writes
+        the attempt, and a stand-in takes the time of its first byte; the modelled delay begins behind that.
+        """
+        request, server, at = advertised.request, advertised.server, advertised.first_byte_at
+        asked = self._asked.get(request)
+        count = self.deadlines
+        if asked is None:
+            count.attempts += 1  # `attempt_came` finds that no client has asked it
+            return
+        excess = excess_us(advertised, asked.client_deadline)
+        is_above = excess is not None and excess > round(self._transit_slack * US_PER_S)
+        count.take(excess, is_further=asked.advertised > 0, is_above=is_above)
+        asked.advertised += 1
+        which = f"{request}: attempt {asked.advertised} to {server}"
+        if excess is None:
+            self._break(Rule.DEADLINE, at, f"{which} advertised no timeout that can be read")
+        elif is_above:
+            left = asked.client_deadline - at
+            told = f"{advertised.timeout_ms} ms with {left * 1000:.3f} ms left"
+            what = f"advertised {told}, {excess / US_PER_MS:.3f} ms too much"
+            self._break(Rule.DEADLINE, at, f"{which} {what}")
+
     def attempt_ended(self, request: str, server: str, outcome: str, now: float) -> None:
         """Note which answers were spoilt."""
         if outcome == "spoilt" and request in self._asked:
--- a/pebblepass/rehearsal/report.py
+++ b/pebblepass/rehearsal/report.py
@@ -90,6 +90,7 @@
             for name, tally in count.routers.items()
         },
         "attempts": dict(sorted(referee.attempts.items())),
+        "deadlines": referee.deadlines.report(),
         "store": {"fetches": world.store.fetches, "writes": world.store.writes},
         "effects": {"applied": world.effects.applied, "repeats_dropped": world.effects.dropped},
         "rules": {
--- a/pebblepass/rehearsal/runner.py
+++ b/pebblepass/rehearsal/runner.py
@@ -29,6 +29,8 @@
 READY_S = 10.0
 TERM_GAP_S, KILL_GAP_S = 0.3, 1.5  # from a router's end to its next start
 VIRTUAL_SLACK_S, REAL_SLACK_S = 0.001, 0.1
+# Bytes take no virtual time: what is left is the rounding of times to nanoseconds, at either end.
+VIRTUAL_TRANSIT_S, REAL_TRANSIT_S = 0.000_001, REAL_SLACK_S
 TAIL_S = 1.0  # after the last deadline, for what routers still have out
 
 Progress = Callable[[float, Series], None]
@@ -48,6 +50,7 @@
     unix_ns: Callable[[], int]
     silence: Silence
     slack: float
+    transit_slack: float
     router: Callable[[int], RouterPort]
 
 
@@ -57,7 +60,7 @@
     def __init__(self, plan: Plan, stage: Stage, progress: Progress = lambda _, __: None) -> None:
         self.plan, self._stage, self._progress = plan, stage, progress
         self._loop = stage.loop
-        self.referee = Referee(stage.slack)
+        self.referee = Referee(stage.slack, stage.transit_slack)
         self.count = Count(plan)
         listening = 0.0 if stage.slack == VIRTUAL_SLACK_S else stage.slack
         self.recorder = Recorder(plan)
@@ -310,6 +313,7 @@
             unix_ns=loop.unix_ns,
             silence=loop.set_silent,
             slack=VIRTUAL_SLACK_S,
+            transit_slack=VIRTUAL_TRANSIT_S,
             router=lambda _: InProcessRouter(loop, loop.unix_ns, make, plan.scenario.sync is not None),
         )
         return runner.run(Rehearsal(plan, stage, progress).run())
@@ -333,6 +337,7 @@
             unix_ns=time.time_ns,
             silence=no_silence,
             slack=REAL_SLACK_S,
+            transit_slack=REAL_TRANSIT_S,
             router=router,
         )
         return runner.run(Rehearsal(plan, stage, progress).run())
--- a/pebblepass/rehearsal/terminal.py
+++ b/pebblepass/rehearsal/terminal.py
@@ -13,7 +13,7 @@
 
 from pebblepass.rehearsal.bound import clairvoyant
 from pebblepass.rehearsal.count import OUTCOMES
-from pebblepass.rehearsal.page import recovery_rows
+from pebblepass.rehearsal.page import deadline_line, recovery_rows
 from pebblepass.rehearsal.plan import Plan, make_plan
 from pebblepass.rehearsal.recovery import against, calm
 from pebblepass.rehearsal.report import Series, compare, verdict
@@ -101,6 +101,7 @@
         f"repeats dropped: {report['effects']['repeats_dropped']}",
         soft_wrap=True,
     )
+    console.print(deadline_line(report["deadlines"]), soft_wrap=True)
     recovery = Table("recovery", "", box=None)
     for name, value in recovery_rows(report["recovery"]):
         recovery.add_row(name, value)
--- a/pebblepass/standins/node.py
+++ b/pebblepass/standins/node.py
@@ -10,15 +10,17 @@
 
 import hiredis
 
+from pebblepass.standins.advertised import AdvertisedTimeout, read_advertised_timeout
 from pebblepass.standins.core import ColdBudget, CoreFacts
 from pebblepass.standins.effects import Effects
 from pebblepass.standins.listening import Line, Place, Silence, Station, no_silence
 from pebblepass.standins.serving import Serving
 from pebblepass.standins.witness import Witness
-from pebblepass.wire.resp import bulk
+from pebblepass.wire.resp import MANY, bulk
 
 GARBLED = (b"*3\r\n$9\r\nnot nine\r\n", b"\x00\xfe\x17\r\n", b"*2\r\n*1\r\n$1\r\nx\r\n", b"$-7\r\n")
 DRAIN_S = 4.0  # a node that drains ends after so long
+MANY_WORDS = 5  # of a read of many keys at least: its name, the number of keys, a key, its id and its list
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +139,7 @@
 
     # What is asked
 
-    def asked(self, words: list[bytes], line: _NodeLine) -> None:
+    def asked(self, words: list[bytes], line: _NodeLine, first_byte_at: float) -> None:
         """Take a command whose last byte has left its router."""
         place = line.place()
         name = words[0].upper() if words else b""
@@ -147,17 +149,29 @@
             place.answer(bulk(self.report()))
         elif name in (b"CLIENT", b"SELECT"):
             place.answer(b"+OK\r\n")
+        elif name == MANY and len(words) >= MANY_WORDS:
+            # Routers are told that this node takes no such command; what one advertises counts all the same.
+            self._report_timeout(words[-2].decode(), words[-1], first_byte_at)
+            place.answer(b"-SYNTAX unknown command\r\n")
         elif name not in (b"KV.GET", b"KV.SET") or len(words) != (4 if name == b"KV.GET" else 5):
             place.answer(b"-SYNTAX unknown command\r\n")
         else:
             info = dict(part.partition("=")[::2] for part in words[3].decode().split(","))
             request = words[2].decode()
             self._witness.attempt_came(request, self.setup.id, self.loop.time())
+            self._report_timeout(request, words[3], first_byte_at)
             asked = _Asked(
                 request, info.get("c", ""), words[1].decode(), info.get("k"), name == b"KV.SET", place
             )
             self.loop.call_later(line.delay, self._offer, asked, self.serving.born)
 
+    def _report_timeout(self, request: str, info: bytes, first_byte_at: float) -> None:
+        """Report to the witness how much time an attempt says that its client has left."""
+        timeout_ms, now = read_advertised_timeout(info), self.loop.time()
+        self._witness.timeout_advertised(
+            AdvertisedTimeout(request, self.setup.id, timeout_ms, first_byte_at, now)
+        )
+
     def _offer(self, asked: _Asked, born: int) -> None:
         if born != self.serving.born or self.station.silent:
             return
@@ -234,6 +248,32 @@
     return told + b"." * max(0, size - len(told))
 
 
+def encoded_length(words: list[bytes]) -> int:
+    """How many bytes a command took on the wire."""
+    return len(b"*%d\r\n" % len(words)) + sum(len(b"$%d\r\n\r\n" % len(word)) + len(word) for word in words)
+
+
+class FirstBytes:
+    """When the first byte of the command under way on one connection came, however it is cut into pieces."""
+
+    def __init__(self) -> None:
+        self._pending = 0  # bytes that belong to no command that is whole
+        self._first_at = self._came_at = 0.0
+
+    def came(self, length: int, now: float) -> None:
+        """Take so many bytes."""
+        if not self._pending:
+            self._first_at = now
+        self._pending += length
+        self._came_at = now
+
+    def command_ended(self, length: int) -> float:
+        """Take note that a command of this length is whole; returns when its first byte came."""
+        first_at, self._first_at = self._first_at, self._came_at  # what follows has come with its last byte
+        self._pending -= length
+        return first_at
+
+
 class _NodeLine(Line):
     """A router's connection to a node."""
 
@@ -241,16 +281,19 @@
         super().__init__(node.station, delay)
         self._node = node
         self._reader = hiredis.Reader()
+        self._first_bytes = FirstBytes()
 
     def data_received(self, data: bytes) -> None:
         """Read commands; what can't be read closes the connection."""
         if self.station.silent:
             return
+        self._first_bytes.came(len(data), self.station.loop.time())
         try:
             self._reader.feed(data)
             while (words := self._reader.gets()) is not False:
-                if not isinstance(words, list):
+                if not isinstance(words, list) or not all(isinstance(word, bytes) for word in words):
                     raise hiredis.ProtocolError("not a command")
-                self._node.asked(words, self)
+                first_byte_at = self._first_bytes.command_ended(encoded_length(words))
+                self._node.asked(words, self, first_byte_at)
         except (hiredis.ProtocolError, UnicodeDecodeError):
             self.close()
--- a/pebblepass/standins/store.py
+++ b/pebblepass/standins/store.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from pebblepass.standins.advertised import AdvertisedTimeout, read_advertised_timeout
 from pebblepass.standins.core import CoreFacts
 from pebblepass.standins.effects import Effects
 from pebblepass.standins.listening import Line, Place, Silence, Station, no_silence
@@ -75,7 +76,9 @@
         """The store is back."""
         self.station.reopen()
 
-    def asked(self, method: bytes, target: str, headers: dict[bytes, bytes], line: Line) -> None:
+    def asked(
+        self, method: bytes, target: str, headers: dict[bytes, bytes], line: Line, first_byte_at: float
+    ) -> None:
         """Take a request whose last byte has left its router."""
         place = line.place()
         if method == b"GET" and target in ("/health/live", "/stats"):
@@ -83,6 +86,11 @@
             return
         request = headers.get(b"request-id", b"").decode()
         info = headers.get(b"request-info", b"").decode()
+        if method in (b"GET", b"PUT") and request:
+            timeout_ms, now = read_advertised_timeout(info.encode()), self.loop.time()
+            self._witness.timeout_advertised(
+                AdvertisedTimeout(request, self.setup.id, timeout_ms, first_byte_at, now)
+            )
         if method not in (b"GET", b"PUT") or not request or not info:
             place.answer(_answer(400, b""))
             return
@@ -140,6 +148,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: dict[bytes, bytes] = {}
+        self._first_byte_at = 0.0
 
     def data_received(self, data: bytes) -> None:
         """Read requests; what can't be read closes the connection."""
@@ -148,6 +157,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, UnicodeDecodeError):
             self.close()
 
+    def on_message_begin(self) -> None:
+        """Called by httptools."""
+        self._first_byte_at = self.station.loop.time()
+
     def on_url(self, url: bytes) -> None:
         """Called by httptools."""
         self._target += url
@@ -160,4 +173,4 @@
         """Called by httptools."""
         target, headers = self._target.decode(), self._headers
         self._target, self._headers = b"", {}
-        self._store.asked(self._parser.get_method(), target, headers, self)
+        self._store.asked(self._parser.get_method(), target, headers, self, self._first_byte_at)
--- a/pebblepass/standins/witness.py
+++ b/pebblepass/standins/witness.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from pebblepass.standins.advertised import AdvertisedTimeout
 from pebblepass.standins.effects import Doubled
 
 
@@ -11,7 +12,10 @@
     """Takes what stand-ins see; times are the loop's, in seconds."""
 
     def attempt_came(self, request: str, server: str, now: float) -> None:
-        """The first byte of an attempt has come to a mirror node or the store."""
+        """An attempt has come whole to a mirror node or the store."""
+
+    def timeout_advertised(self, advertised: AdvertisedTimeout) -> None:
+        """An attempt has told its server how much time its client has left, or has failed to."""
 
     def attempt_ended(self, request: str, server: str, outcome: str, now: float) -> None:
         """An attempt was answered: `hit`, `miss`, `stored`, `fetched`, `busy`, `error` or `spoilt`."""
@@ -35,6 +39,9 @@
     def attempt_came(self, request: str, server: str, now: float) -> None:
         """Take no notice."""
 
+    def timeout_advertised(self, advertised: AdvertisedTimeout) -> None:
+        """Take no notice."""
+
     def attempt_ended(self, request: str, server: str, outcome: str, now: float) -> None:
         """Take no notice."""
 
--- a/tests/rehearsal/test_referee.py
+++ b/tests/rehearsal/test_referee.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from pebblepass.rehearsal.deadlines import DeadlineCount
 from pebblepass.rehearsal.referee import Referee, Rule
+from pebblepass.standins.advertised import AdvertisedTimeout
 from pebblepass.standins.effects import Doubled
 
 
@@ -118,3 +120,110 @@
     assert not made.knows_start("q", "s0")
     made.was_told("r0", "s0", "up", 2.0)
     assert made.knows_start("q", "s0")
+
+
+# Deadline propagation: the slack is 1 ms here, and 500 ms are left at 9.5 s
+
+
+def advertise(
+    made: Referee, timeout_ms: int | None, at: float = 9.5, last_byte_at: float | None = None, name: str = "q"
+) -> None:
+    last = at if last_byte_at is None else last_byte_at
+    made.timeout_advertised(AdvertisedTimeout(name, "s0", timeout_ms, at, last))
+
+
+@pytest.mark.parametrize("timeout_ms", [0, 1, 499, 500, 501])
+def test_what_is_left_and_the_slack_may_be_advertised(timeout_ms: int) -> None:
+    made = referee()
+    advertise(made, timeout_ms)
+    assert broken(made) == []
+    assert made.deadlines.above == 0
+
+
+def test_one_millisecond_beyond_the_slack_breaks_the_fifth_rule() -> None:
+    made = referee()
+    advertise(made, 502)
+    assert broken(made) == [Rule.DEADLINE]
+    what = "q: attempt 1 to s0 advertised 502 ms with 500.000 ms left, 2.000 ms too much"
+    assert made.breaches[0].what == what
+
+
+def test_the_slack_is_kept_to_the_microsecond() -> None:
+    made = Referee(slack=0.001, transit_slack=0.000_001)
+    made.taken("q", "r0", deadline=10.0)
+    advertise(made, 500, at=9.5)
+    advertise(made, 500, at=9.500_001)
+    assert broken(made) == []
+    advertise(made, 500, at=9.500_002)
+    assert broken(made) == [Rule.DEADLINE]
+    assert made.deadlines.largest_excess_us == 2
+
+
+def test_the_first_attempt_is_held_to_the_rule_too() -> None:
+    made = referee()
+    advertise(made, 1000)
+    assert made.deadlines == DeadlineCount(attempts=1, further=0, above=1, largest_excess_us=500_000)
+
+
+def test_a_further_attempt_that_tells_the_first_ones_time_breaks_the_fifth_rule() -> None:
+    made = referee()
+    advertise(made, 1000, at=9.0)
+    assert broken(made) == []
+    advertise(made, 1000, at=9.25)
+    assert broken(made) == [Rule.DEADLINE]
+    assert made.deadlines == DeadlineCount(attempts=2, further=1, above=1, largest_excess_us=250_000)
+
+
+def test_what_counts_is_what_was_left_at_the_attempts_first_byte() -> None:
+    made = referee()
+    advertise(made, 500, at=9.5, last_byte_at=9.9)
+    assert broken(made) == []
+
+
+def test_the_clients_deadline_is_the_one_that_its_request_states() -> None:
+    made = Referee(slack=0.001)
+    made.taken("q", "r0", deadline=10.0, client_deadline=9.9)
+    advertise(made, 402)
+    assert broken(made) == [Rule.DEADLINE]
+    made.answered("q", 10.07)  # the answer is owed by the other one still
+    assert broken(made) == [Rule.DEADLINE]
+
+
+def test_after_its_deadline_no_attempt_may_advertise_anything() -> None:
+    made = referee()
+    advertise(made, 0, at=10.5)
+    assert broken(made) == [Rule.DEADLINE]
+
+
+def test_an_unreadable_timeout_breaks_the_fifth_rule() -> None:
+    made = referee()
+    advertise(made, None)
+    assert broken(made) == [Rule.DEADLINE]
+    assert made.deadlines == DeadlineCount(attempts=1, unreadable=1)
+
+
+def test_attempts_are_told_apart_by_their_request() -> None:
+    made = referee()
+    made.taken("p", "r0", deadline=10.0)
+    advertise(made, 500, name="p")
+    advertise(made, 500)
+    advertise(made, 500)
+    assert (made.deadlines.attempts, made.deadlines.further) == (3, 1)
+
+
+def test_an_attempt_that_no_client_asked_for_is_counted_and_left_to_the_first_rule() -> None:
+    made = referee()
+    advertise(made, 9999, name="unheard-of")
+    assert broken(made) == []
+    assert made.deadlines.attempts == 1
+
+
+def test_the_count_as_a_report_tells_it() -> None:
+    count = DeadlineCount(attempts=7, further=2, above=1, unreadable=1, largest_excess_us=1500)
+    assert count.report() == {
+        "attempts": 7,
+        "further_attempts": 2,
+        "above_what_was_left": 1,
+        "unreadable": 1,
+        "largest_excess_ms": 1.5,
+    }
--- /dev/null
+++ b/tests/standins/test_advertised.py
@@ -0,0 +1,176 @@
+"""What stand-ins report of the timeout that an attempt advertises, however it is written and cut up."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from pebblepass.rehearsal.clock import START_S, VirtualLoop
+from pebblepass.standins.advertised import AdvertisedTimeout, read_advertised_timeout
+from pebblepass.standins.core import CoreFacts
+from pebblepass.standins.effects import Effects
+from pebblepass.standins.node import MirrorNode, NodeSetup, Works
+from pebblepass.standins.store import PackageStore, StoreSetup
+from pebblepass.standins.witness import Nobody
+from pebblepass.wire import http
+from pebblepass.wire.address import Address
+from pebblepass.wire.resp import command
+from tests.virtual import played
+
+CORE = CoreFacts(speed=1.0, slots=8, queue=8)
+DELAYS = {"here": 0.01}
+INFO = b"c=read,t=acme,d=%b,k=1"
+PIECE_GAP_S = 0.05
+
+
+class Listener(Nobody):
+    """Keeps what was advertised."""
+
+    def __init__(self) -> None:
+        self.advertised: list[AdvertisedTimeout] = []
+
+    def timeout_advertised(self, advertised: AdvertisedTimeout) -> None:
+        """Keep it."""
+        self.advertised.append(advertised)
+
+
+async def start_node(loop: VirtualLoop, listener: Listener) -> Address:
+    """Start a mirror node."""
+    setup = NodeSetup("s0", CORE, 10, 1.0, {"read": Works(0.001, 0.001)}, 0.5, 0.0, (10, 10), DELAYS)
+    node = MirrorNode(loop, setup, random.Random(1), Effects({}, print), listener, lambda _, __: None)
+    await node.start()
+    return node.station.address("here")
+
+
+async def start_store(loop: VirtualLoop, listener: Listener) -> Address:
+    """Start a package store."""
+    setup = StoreSetup("store", CORE, 0.001, 0.0, (10, 10), DELAYS)
+    rng, effects = random.Random(1), Effects({}, print)
+    store = PackageStore(loop, setup, rng, effects, listener, lambda _, __: None, lambda _: None)
+    await store.start()
+    return store.station.address("here")
+
+
+Start = Callable[[VirtualLoop, Listener], Awaitable[Address]]
+
+
+def reported(start: Start, *pieces: bytes) -> list[AdvertisedTimeout]:
+    """What a stand-in reports of these bytes; each piece is written so long after the one before it."""
+    listener = Listener()
+
+    async def work(loop: VirtualLoop) -> None:
+        _, writer = await asyncio.open_connection(*await start(loop, listener))
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(PIECE_GAP_S)
+        writer.close()
+
+    played(work)
+    return listener.advertised
+
+
+def at(gaps: int) -> Any:
+    """The time of a piece."""
+    return pytest.approx(START_S + gaps * PIECE_GAP_S)
+
+
+def read(request: bytes, timeout: bytes) -> bytes:
+    return command(b"KV.GET", b"key", request, INFO % timeout)
+
+
+def to_store(method: str, request: bytes, info: bytes, body: bytes | None = None) -> bytes:
+    headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (request, info)
+    return http.request(method, "/key", "store:1", headers, body)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        read(b"q", b"250"),
+        command(b"KV.SET", b"key", b"q", INFO % b"250", b"value"),
+        command(b"KV.MGET", b"2", b"key", b"other", b"q", INFO % b"250"),
+    ],
+)
+def test_a_node_reports_what_a_command_advertises(data: bytes) -> None:
+    assert reported(start_node, data) == [AdvertisedTimeout("q", "s0", 250, at(0), at(0))]
+
+
+def test_a_node_reports_each_of_many_reads_that_come_together() -> None:
+    found = reported(start_node, read(b"q.0", b"250") + read(b"q.1", b"250") + read(b"q.2", b"249"))
+    assert [(each.request, each.timeout_ms) for each in found] == [("q.0", 250), ("q.1", 250), ("q.2", 249)]
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_the_store_reports_what_a_request_advertises(method: str) -> None:
+    body = b"value" if method == "PUT" else None
+    found = reported(start_store, to_store(method, b"q", INFO % b"250", body))
+    assert found == [AdvertisedTimeout("q", "store", 250, at(0), at(0))]
+
+
+def test_the_store_reports_each_request_of_a_connection() -> None:
+    first, second = (to_store("GET", name, INFO % told) for name, told in ((b"a", b"250"), (b"b", b"100")))
+    found = reported(start_store, first, second)
+    assert [(each.request, each.timeout_ms) for each in found] == [("a", 250), ("b", 100)]
+    assert [each.first_byte_at for each in found] == [at(0), at(1)]
+
+
+@pytest.mark.parametrize(
+    ("start", "data"),
+    [
+        (start_node, read(b"q", b"250")),
+        (start_node, command(b"KV.SET", b"key", b"q", INFO % b"250", b"value")),
+        (start_store, to_store("GET", b"q", INFO % b"250")),
+        (start_store, to_store("PUT", b"q", INFO % b"250", b"value")),
+    ],
+)
+def test_the_times_of_the_first_and_the_last_byte_are_told_wherever_an_attempt_is_cut(
+    start: Start, data: bytes
+) -> None:
+    for cut in range(1, len(data)):
+        (found,) = reported(start, data[:cut], data[cut:])
+        assert (found.timeout_ms, found.first_byte_at, found.last_byte_at) == (250, at(0), at(1)), cut
+
+
+def test_a_command_that_begins_in_the_piece_of_another_has_its_own_first_byte() -> None:
+    one, other = read(b"a", b"250"), read(b"b", b"240")
+    both = one + other
+    for cut in range(len(one) + 1, len(both)):
+        first, second = reported(start_node, one[:5], both[5:cut], both[cut:])
+        assert (first.first_byte_at, first.last_byte_at) == (at(0), at(1)), cut
+        assert (second.first_byte_at, second.last_byte_at) == (at(1), at(2)), cut
+
+
+MALFORMED = [b"c=read,t=acme", b"c=read,d=", b"c=read,d=-5", b"c=read,d=2.5", b"c=read,d=1,d=9", b"d 250"]
+
+
+@pytest.mark.parametrize("info", MALFORMED)
+def test_a_missing_or_malformed_timeout_is_reported_as_such(info: bytes) -> None:
+    node, store = command(b"KV.GET", b"key", b"q", info), to_store("GET", b"q", info)
+    assert [each.timeout_ms for each in reported(start_node, node)] == [None]
+    assert [each.timeout_ms for each in reported(start_store, store)] == [None]
+
+
+def test_a_store_request_without_any_list_is_reported() -> None:
+    bare = http.request("GET", "/key", "store:1", b"Request-Id: q\r\n")
+    assert [each.timeout_ms for each in reported(start_store, bare)] == [None]
+
+
+def test_probes_advertise_nothing() -> None:
+    assert reported(start_node, command(b"PING") + command(b"INFO", b"load")) == []
+    assert reported(start_store, http.request("GET", "/health/live", "store:1")) == []
+
+
+@pytest.mark.parametrize(
+    ("info", "timeout"), [(b"d=0", 0), (b"c=x,d=17", 17), (b"d=999999999,k=3", 999999999)]
+)
+def test_a_timeout_is_read_wherever_it_stands(info: bytes, timeout: int) -> None:
+    assert read_advertised_timeout(info) == timeout
+
+
+def test_a_name_that_only_ends_alike_is_no_timeout() -> None:
+    assert read_advertised_timeout(b"c=read,id=5,bd=7") is None
+    assert read_advertised_timeout(b"d=1234567890") is None
