--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from pebblepass.control.counters import Counters
+from pebblepass.daemon import deadline_propagation
 from pebblepass.daemon.deadlines import Deadline
 from pebblepass.daemon.lag import LoopLag, after_news
 from pebblepass.daemon.upstream import Answer, Exchange, ValueSource
@@ -18,7 +19,6 @@
 if TYPE_CHECKING:
     from pebblepass.figures.ledger import Ledger
 
-NS_PER_MS = 1_000_000
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
@@ -152,9 +152,10 @@
         now: int,
         until: int = 0,
     ) -> None:
-        """`until`: the time after which it must not be sent any more; 0: there is none."""
+        """`until`: a time from which it must not be sent, before its client's own; 0: there is none."""
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
-        self._until = until
+        latest = deadline_propagation.latest_start(request.deadline)
+        self._latest_start = min(until, latest) if until else latest
         self._number = request.attempts
         self._sent_at, self._lag_before = now, host.lag.total(now)
         self.is_write = request.command.value is not None
@@ -176,7 +177,7 @@
     @property
     def wanted(self) -> bool:
         """Whether its request has no final answer yet, and the time in which it may be sent is not over."""
-        return not (self._request.closed or (self._until and self._host.now() >= self._until))
+        return not self._request.closed and self._host.now() < self._latest_start
 
     def may_begin(self) -> bool:
         """Whether it is wanted, and its client is there; one whose client has gone is let go."""
@@ -247,15 +248,16 @@
             self.give_up(Outcome.TIMEOUT)
 
     def request_bytes(self, address: Address) -> bytes:
-        """The client's command again, with what is left of its time."""
-        command = self._request.command
+        """Encode the client's request for this server, advertising what is left of the client's time."""
+        request, command = self._request, self._request.command
+        timeout_ms = deadline_propagation.remaining_ms(request.deadline, self._host.now(), command.timeout_ms)
         if self._to_origin:
             method = "GET" if command.value is None else "PUT"
-            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
+            info = resp.with_timeout(command.info, timeout_ms)
+            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, info)
             target = "/" + _as_path(command.key)
             return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
-        left = max((self._request.deadline - self._host.now()) // NS_PER_MS, 1)
-        return command.as_bytes(left)
+        return command.as_bytes(timeout_ms)
 
     def written(self) -> None:
         """Count it as sent."""
