Hold attempts against their clients' time in trials of processes too

A trial's daemon writes down each single attempt with the timeout in its bytes and its client's deadline, and a checker, run with the others over every history, refuses an attempt that advertises more than is left, or nothing that can be read. Slack: none, as both times are of one process. A broken program, `clients-timeout-advertised`, shows that the check can fail; it is known to the trials' daemon only, since schedules play no requests.

--- a/pebblepass/trials/checkers.py
+++ b/pebblepass/trials/checkers.py
@@ -114,6 +114,18 @@
             yield Broken("within the quota", line, tuple(now))
 
 
+def within_the_clients_time(events: Sequence[Event]) -> Iterator[Broken]:
+    """No attempt advertises more time than its client has left when it is written."""
+    for event in events:
+        if event.what != "advertised":
+            continue
+        left_ms = (event.until - event.at) / 1e6
+        if event.amount < 0 or event.amount > left_ms:
+            advertised = f"{event.amount:.0f} ms" if event.amount >= 0 else "no timeout"
+            line = f"{event.router}: {event.told} advertised {advertised} with {left_ms:.3f} ms left"
+            yield Broken("within the client's time", line, (event,))
+
+
 ROUNDING = 1e-6
 CHECKS: tuple[Check, ...] = (
     one_outcome,
@@ -121,6 +133,7 @@
     promises_kept,
     in_order,
     within_the_quota,
+    within_the_clients_time,
 )
 
 
--- a/pebblepass/trials/history.py
+++ b/pebblepass/trials/history.py
@@ -14,7 +14,8 @@
     at: int
     router: str
     what: str
-    """admit, floor, decided, promised, accepted, proposed, verdict, started, fault, note, share."""
+    """admit, floor, decided, promised, accepted, proposed, verdict, started, fault, note, share,
+    advertised."""
     version: int = 0
     change: str = ""
     told: str = ""
@@ -23,9 +24,15 @@
     disk: str = ""
     """The incarnation of the disk that promised."""
     amount: float = 0.0
-    """Of a share: fetches a second that its router admits beyond the floor; of a version: all of these."""
+    """Of a share: fetches a second that its router admits beyond the floor; of a version: all of these.
+
+    Of an attempt that was written: the timeout that it advertised, in milliseconds; below 0: it has none.
+    """
     until: int = 0
-    """Of a share: until when it admits so much, if nothing later is told; `at`: it was seen to, then."""
+    """Of a share: until when it admits so much, if nothing later is told; `at`: it was seen to, then.
+
+    Of an attempt: its client's deadline.
+    """
 
 
 def write_history(path: Path, events: Iterable[Event]) -> None:
--- a/pebblepass/trials/router.py
+++ b/pebblepass/trials/router.py
@@ -4,7 +4,8 @@
         python -m pebblepass.trials.router
 
 With a step (check, prepare, accept, learn, or promised, took, decided: a write) the process is killed as it
-takes it for the Nth time. With PEBBLEPASS_CLOCK=1.05 its clock runs fast. All else is the daemon's own.
+takes it for the Nth time. The name `clients-timeout-advertised` is known here only: every attempt advertises
+its client's own timeout. With PEBBLEPASS_CLOCK=1.05 its clock runs fast. All else is the daemon's own.
 Times in the history are the machine's.
 """
 
@@ -25,16 +26,22 @@
 from pebblepass.agreement.member import Action, InForce, Member, Send, Write
 from pebblepass.agreement.service import AgreementService
 from pebblepass.daemon import __main__ as daemon_main
-from pebblepass.daemon import fleet
+from pebblepass.daemon import deadline_propagation, fleet
+from pebblepass.daemon.attempts import Attempt
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.daemon.router import RouterHost
 from pebblepass.decisions import PolicyChanged
 from pebblepass.decisions import Send as SendRequest
+from pebblepass.standins.advertised import read_advertised_timeout
 from pebblepass.trials.broken import SOUND, VARIANTS
 from pebblepass.trials.history import Event
+from pebblepass.wire.address import Address
 
 VARIANT = VARIANTS.get(os.environ.get("PEBBLEPASS_BREAK", ""), SOUND)
+CLIENTS_TIMEOUT = "clients-timeout-advertised"
+HTTP_INFO = b"Request-Info: "
+RESP_INFO_LINE = 8  # of a command for one key: the array's head, then a length and a word in turn
 STEP, _, _count = os.environ.get("PEBBLEPASS_KILL", "").partition(":")
 STEP_COUNT = int(_count or 1)
 # In one write each, behind one another: a kill tears the last line at most.
@@ -80,6 +87,39 @@
     return []
 
 
+def advertised_info(data: bytes) -> bytes:
+    """The list of names and values in an attempt's bytes: a command's fourth word, or the origin's header."""
+    lines = data.split(b"\r\n")
+    if data.startswith(b"*"):
+        return lines[RESP_INFO_LINE]
+    return next((line.removeprefix(HTTP_INFO) for line in lines if line.startswith(HTTP_INFO)), b"")
+
+
+def record_advertised_timeouts() -> None:
+    """Write down each attempt's advertised timeout, with its client's deadline by this process's clock."""
+    sound = Attempt.request_bytes
+
+    def request_bytes(attempt: Attempt, address: Address) -> bytes:
+        now, data = attempt._host.now(), sound(attempt, address)
+        timeout_ms = read_advertised_timeout(advertised_info(data))
+        amount = -1.0 if timeout_ms is None else float(timeout_ms)
+        until = machine(now) + attempt._request.deadline - now
+        name = RecordingHost.name
+        record(Event(now, name, "advertised", told=attempt.request_id, amount=amount, until=until))
+        return data
+
+    Attempt.request_bytes = request_bytes  # type: ignore[assignment, method-assign]
+
+
+def break_deadline_propagation() -> None:
+    """Let every attempt advertise its client's own timeout."""
+
+    def clients_timeout(deadline_ns: int, now_ns: int, client_timeout_ms: int) -> int:
+        return client_timeout_ms
+
+    deadline_propagation.remaining_ms = clients_timeout
+
+
 class RecordingHost(RouterHost):
     """Writes down each fetch that the decisions admit, with the time at which they looked at the clock."""
 
@@ -188,6 +228,9 @@
 def main() -> int:
     """Run the router."""
     set_clock()
+    record_advertised_timeouts()
+    if os.environ.get("PEBBLEPASS_BREAK") == CLIENTS_TIMEOUT:
+        break_deadline_propagation()
     fleet.FleetPart.service_class = RecordingService
     daemon_main.daemon_class = RecordingDaemon
     told = msgspec.json.decode(Path(os.environ["LB_CONFIG"]).read_bytes())
