--- a/tests/daemon/test_standing_terms.py
+++ b/tests/daemon/test_standing_terms.py
@@ -97,14 +97,16 @@
     referees: list[ObservedReferee] = []
 
     class ObservedReferee(Referee):
-        def __init__(self, slack: float) -> None:
-            super().__init__(slack)
+        def __init__(self, slack: float, transit_slack: float | None = None) -> None:
+            super().__init__(slack, transit_slack)
             self.last_answered, self.last_answer_at = "", 0.0
             referees.append(self)
 
-        def taken(self, request: str, router: str, deadline: float) -> None:
+        def taken(
+            self, request: str, router: str, deadline: float, client_deadline: float | None = None
+        ) -> None:
             observed.deadlines[request] = deadline
-            super().taken(request, router, deadline)
+            super().taken(request, router, deadline, client_deadline)
 
         def attempt_came(self, request: str, server: str, now: float) -> None:
             super().attempt_came(request, server, now)
