Split the daemon's reads of many keys into four modules

many.py held one key, one command, the keys on one connection and all commands of a router in 792 lines. Each is now a module of pebblepass/daemon/many_keys/: entries, reading, batches, reads.

A daemon without [many_keys] loads none of the modules.

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -107,7 +107,7 @@
     def read_many(self, section: ManyKeysSection) -> None:
         """Take reads of many keys; before the start."""
         # Loaded only where the operator wants it.
-        from pebblepass.daemon.many import ManyReads
+        from pebblepass.daemon.many_keys.reads import ManyReads
 
         many = ManyReads(self._loop, self.host, self._pool, section, self._config.memory)
         self.host.many = self.clients.many = many
--- a/tests/manykeys/site.py
+++ b/tests/manykeys/site.py
@@ -13,7 +13,7 @@
 
 from pebblepass.daemon.config import read_config
 from pebblepass.daemon.daemon import Daemon
-from pebblepass.daemon.many import ManyReads
+from pebblepass.daemon.many_keys.reads import ManyReads
 from pebblepass.figures.ledger import Breach, Ledger
 from pebblepass.operator import ManyKeysSection
 from pebblepass.rehearsal.clock import VirtualLoop
--- a/tests/manykeys/test_reads.py
+++ b/tests/manykeys/test_reads.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pebblepass.daemon.many import ManyReads
+from pebblepass.daemon.many_keys.reads import ManyReads
 from pebblepass.operator import ManyKeysSection
 from tests.manykeys.site import LONG, WAY_S, Fate, Site, marks, on_site, values, well
 
