Name the loop's lag in the field's terms: heartbeat, peak, time of the poll

`heard_at`, `told`, `_said` and `_turns_at` need explaining to whoever sees the module first. LoopLag now has a heartbeat, a current and a previous peak of a window, `on_change`, and `sockets_polled_at`. Reporting the peak is a function of its own. `after_news` stays, as the reads of many keys use it: it is listed as to do. Behaviour is unchanged.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -40,8 +40,8 @@
 class Heard(Protocol):
     """What knows how old the news of the sockets is."""
 
-    heard_at: float
-    """What stood at any socket at this time, in seconds of the loop, has been read since."""
+    sockets_polled_at: float
+    """Loop time in seconds; every socket that was readable at this time has been read from since."""
 
 
 class Host(Protocol):
@@ -203,7 +203,7 @@
         self._heard_at, self._read_at = float("-inf"), float("inf")
         self._has_left = False
         # One that was accepted just now has come since the last look at the listener.
-        self._unread_age = UnreadAge(server.lag.heard_at if empty_at is None else empty_at)
+        self._unread_age = UnreadAge(server.lag.sockets_polled_at if empty_at is None else empty_at)
         self._reading_since = self.used_at
         self.unread_ns = 0
         """Nanoseconds for which what was read last may have stood unread."""
@@ -258,7 +258,7 @@
     def _read(self, data: bytes) -> None:
         reader = self._reader
         self._heard_at = self._last_heard()  # what stands behind these bytes is read a turn later
-        if self._reading and self._reading_since < (heard := self.server.lag.heard_at):
+        if self._reading and self._reading_since < (heard := self.server.lag.sockets_polled_at):
             self._unread_age.emptied(heard)
         self._read_at = self.used_at = now = self.server.loop.time()
         self.unread_ns = int(self._unread_age.read(now, len(data)) * 1e9)
@@ -412,7 +412,7 @@
 
     def _last_heard(self) -> float:
         """A time before which its client had not gone, in seconds of the loop."""
-        heard = self.server.lag.heard_at
+        heard = self.server.lag.sockets_polled_at
         return max(heard, self._heard_at) if self._reading and self._read_at < heard else self._heard_at
 
     def client_there(self) -> bool:
@@ -639,7 +639,7 @@
 
     async def adopt(self, sock: socket.socket, handed: Handed) -> None:
         """Go on with a connection of another process."""
-        await self._adopt(sock, functools.partial(ClientConnection, self, handed, self.lag.heard_at))
+        await self._adopt(sock, functools.partial(ClientConnection, self, handed, self.lag.sockets_polled_at))
 
     async def listen(self, at: Address | socket.socket) -> None:
         """Accept clients at this address, or on a socket that listens already."""
@@ -689,7 +689,7 @@
         return accept_rest(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
 
     def _take_in(self, sock: socket.socket) -> None:
-        make = functools.partial(ClientConnection, self, None, self.lag.heard_at)
+        make = functools.partial(ClientConnection, self, None, self.lag.sockets_polled_at)
         task = self.loop.create_task(self._adopt(sock, make))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/pebblepass/daemon/lag.py
+++ b/pebblepass/daemon/lag.py
@@ -1,4 +1,4 @@
-"""How late the router's own loop runs: time in which news stood unread, and nobody else is to blame."""
+"""Measures how late the event loop runs: for that time input stays unread through no fault of a server."""
 
 from __future__ import annotations
 
@@ -6,63 +6,74 @@
 import functools
 from collections.abc import Callable
 
-BEAT_NS = 20_000_000
-SLACK_NS = 2_000_000  # a beat this late is on time: the loop counts in milliseconds
-MEMORY_NS = 2_000_000_000  # for which the longest lag is held
+HEARTBEAT_NS = 20_000_000
+TOLERANCE_NS = 2_000_000  # a heartbeat this late is on time: the loop counts in milliseconds
+PEAK_WINDOW_NS = 2_000_000_000  # the peak lag is reported for one to two of these
 
 
 class LoopLag:
-    """A regular beat, and by how much it comes late."""
+    """A regular heartbeat of the event loop, and by how much it comes late."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, now: Callable[[], int], told: Callable[[int], None]
+        self, loop: asyncio.AbstractEventLoop, now: Callable[[], int], on_change: Callable[[int], None]
     ) -> None:
-        """`told` is given the longest lag of late, in nanoseconds, when it changes."""
-        self._loop, self._now, self._told = loop, now, told
-        self.heard_at = float("-inf")
-        """What stood at any socket at this time, in seconds of the loop, has been read since."""
-        self._sum = self._said = 0
-        self._longest = self._before = 0  # in this span of memory, and in the one before
-        self._turns_at = now() + MEMORY_NS
-        self._wait()
-
-    def _wait(self) -> None:
-        self._due = self._now() + BEAT_NS
-        self._timer = self._loop.call_later(BEAT_NS / 1e9, self._beat)
+        """`on_change` is called with the recent peak lag in nanoseconds whenever that changes."""
+        self._loop = loop
+        self._now = now
+        self._on_change = on_change
+        self.sockets_polled_at = float("-inf")
+        """Loop time in seconds; every socket that was readable at this time has been read from since."""
+        self._total_lag = 0
+        self._reported_peak = 0
+        self._current_peak = 0  # within the current window
+        self._previous_peak = 0  # within the window before it
+        self._window_ends_at = now() + PEAK_WINDOW_NS
+        self._schedule_heartbeat()
+
+    def _schedule_heartbeat(self) -> None:
+        self._due = self._now() + HEARTBEAT_NS
+        self._timer = self._loop.call_later(HEARTBEAT_NS / 1e9, self._heartbeat)
 
     def total(self, now: int) -> int:
-        """Nanoseconds that the loop has been held up since the start, with what no beat has told yet.
+        """Nanoseconds by which the loop has been held up since the start.
 
-        Whether sockets are read or timers run first after a hold-up is the loop's affair.
+        Includes the lateness of a heartbeat that is overdue: after a hold-up the loop may dispatch sockets
+        before it runs timers.
         """
         late = now - self._due
-        return self._sum + late if late > SLACK_NS else self._sum
+        return self._total_lag + late if late > TOLERANCE_NS else self._total_lag
 
-    def _beat(self) -> None:
+    def _heartbeat(self) -> None:
         now = self._now()
         late = now - self._due
-        if late > SLACK_NS:
-            self._sum += late
-            self._longest = max(self._longest, late)
-        after_news(self._loop, functools.partial(self._heard, self._loop.time()))
-        if now >= self._turns_at:
-            self._turns_at = now + MEMORY_NS
-            self._before, self._longest = self._longest, 0
-        longest = max(self._longest, self._before)
-        if longest != self._said:
-            self._said = longest
-            self._told(longest)
-        self._wait()
-
-    def _heard(self, at: float) -> None:
-        self.heard_at = at
+        if late > TOLERANCE_NS:
+            self._total_lag += late
+            self._current_peak = max(self._current_peak, late)
+        after_news(self._loop, functools.partial(self._record_poll, self._loop.time()))
+        if now >= self._window_ends_at:
+            self._window_ends_at = now + PEAK_WINDOW_NS
+            self._previous_peak, self._current_peak = self._current_peak, 0
+        self._report_peak()
+        self._schedule_heartbeat()
+
+    def _report_peak(self) -> None:
+        peak = max(self._current_peak, self._previous_peak)
+        if peak != self._reported_peak:
+            self._reported_peak = peak
+            self._on_change(peak)
+
+    def _record_poll(self, at: float) -> None:
+        self.sockets_polled_at = at
 
     def close(self) -> None:
-        """Stop."""
+        """Stop the heartbeat."""
         self._timer.cancel()
 
 
 def after_news(loop: asyncio.AbstractEventLoop, callback: Callable[[], None]) -> None:
-    """Call back once the sockets have been read: what is due may have come, and stand unread."""
-    # The first turn may come before the sockets are looked at, the second can't.
+    """Call back once the loop has polled its sockets and dispatched what was readable.
+
+    After a hold-up a timer may run before input that has arrived long ago is read.
+    """
+    # The first iteration may begin before the sockets are polled, the second can't.
     loop.call_soon(loop.call_soon, callback)
--- a/tests/daemon/test_clients.py
+++ b/tests/daemon/test_clients.py
@@ -14,7 +14,7 @@
 
 
 class NoNews:
-    heard_at = float("-inf")
+    sockets_polled_at = float("-inf")
 
 
 class EchoHost:
--- a/tests/daemon/test_lag.py
+++ b/tests/daemon/test_lag.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from pebblepass.daemon.lag import BEAT_NS, MEMORY_NS, LoopLag, after_news
+from pebblepass.daemon.lag import HEARTBEAT_NS, PEAK_WINDOW_NS, LoopLag, after_news
 from pebblepass.rehearsal.clock import VirtualLoop
 from tests.virtual import played
 
@@ -20,13 +20,13 @@
         loop.stall(0.05)
         assert told == []
         assert 0.029e9 <= lag.total(loop.time_ns()) <= 0.05e9  # known before the beat tells it
-        await asyncio.sleep(BEAT_NS / 1e9)
+        await asyncio.sleep(HEARTBEAT_NS / 1e9)
         assert 0.029e9 <= told[-1] <= 0.05e9
         assert lag.total(loop.time_ns()) == told[-1]
         loop.stall(0.1)
-        await asyncio.sleep(BEAT_NS / 1e9)
+        await asyncio.sleep(HEARTBEAT_NS / 1e9)
         assert 0.079e9 <= told[-1] <= 0.1e9
-        await asyncio.sleep(2 * MEMORY_NS / 1e9 + 1)
+        await asyncio.sleep(2 * PEAK_WINDOW_NS / 1e9 + 1)
         assert told[-1] == 0
         lag.close()
 
