Choose between the kernel's poll and a simulated loop's in one place, and name it so

`looks` and `watch` chose each for itself between the loop's own `unread` and `select.poll`. `socket_poller` chooses now; the kernel's and the simulated poller each give a poll of any descriptor and one for a descriptor that is polled often. Accepting a listener's backlog is a function of its own. The virtual loop's methods are `poll_socket` and `accept_pending`. Behaviour is unchanged; a connection to a server makes one more poll object, which was not measured.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -13,7 +13,7 @@
 
 from pebblepass.admission.descriptors import REFUSERS
 from pebblepass.admission.places import Standing, makes_room
-from pebblepass.daemon.unread import ANYTHING, accept_rest, has_ended, looks
+from pebblepass.daemon.unread import READ_EVENTS, accept_pending, peer_has_closed, socket_poller
 from pebblepass.daemon.unread_age import UnreadAge
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.wire.address import Address
@@ -402,8 +402,8 @@
         """Whether its end, or a reset, stands in the kernel, perhaps behind bytes that nobody has read."""
         if self.transport is None or self.transport.is_closing():
             return False
-        found = self.server.unread(self._descriptor, ANYTHING)
-        if has_ended(found):
+        found = self.server.poll_socket(self._descriptor, READ_EVENTS)
+        if peer_has_closed(found):
             return True
         self._heard_at = self.server.loop.time()
         if not found & select.POLLIN:
@@ -432,8 +432,8 @@
         """Whether a client that is there has sent something that will be read in the next turn."""
         if not self._reading or self.transport is None or self.transport.is_closing():
             return False
-        found = self.server.unread(self._descriptor, ANYTHING)
-        return bool(found & select.POLLIN) and not has_ended(found)
+        found = self.server.poll_socket(self._descriptor, READ_EVENTS)
+        return bool(found & select.POLLIN) and not peer_has_closed(found)
 
     @property
     def paused(self) -> bool:
@@ -585,7 +585,7 @@
     ) -> None:
         """`limit` connections are served; `refusers` more are told that they are not."""
         self.loop, self.host, self._limit, self._refusers = loop, host, limit, refusers
-        self.unread, self.lag = looks(loop), host.lag
+        self.poll_socket, self.lag = socket_poller(loop).poll, host.lag
         self.ending = False
         """Whether what still comes is refused: the router ends before it could be answered."""
         self._paused_timer: asyncio.TimerHandle | None = None
@@ -686,7 +686,7 @@
         # at once, they would take the descriptors of dials and of discovery until they have their answer.
         if self._listener is None:
             return False
-        return accept_rest(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
+        return accept_pending(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
 
     def _take_in(self, sock: socket.socket) -> None:
         make = functools.partial(ClientConnection, self, None, self.lag.sockets_polled_at)
--- a/pebblepass/daemon/unread.py
+++ b/pebblepass/daemon/unread.py
@@ -1,4 +1,8 @@
-"""What the kernel holds of a connection and nobody has read: news that stands between two lines of ours."""
+"""Polls for what the event loop has not dispatched yet: events at a socket, connections in a backlog.
+
+A simulated loop, which has no kernel behind its sockets, answers the same questions itself: by `poll_socket`
+and `accept_pending`.
+"""
 
 from __future__ import annotations
 
@@ -8,46 +12,38 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Protocol
 
-ANYTHING = select.POLLIN | select.POLLRDHUP
-_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
-
-Look = Callable[[int, int], int]
+READ_EVENTS = select.POLLIN | select.POLLRDHUP
+_CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
+AcceptCallback = Callable[[socket.socket], None]
 
-def looks(loop: asyncio.AbstractEventLoop) -> Look:
-    """What tells, without waiting, which of these events, and which errors, stand unread at a descriptor.
 
-    A loop that knows its sockets' state by itself, as a rehearsal's, has an `unread` of its own.
-    """
-    of_loop: Look | None = getattr(loop, "unread", None)
-    return of_loop if of_loop is not None else Poll().unread
+class SocketPoller(Protocol):
+    """Tells without waiting which events of `poll` are pending at a descriptor."""
 
+    def poll(self, descriptor: int, events: int) -> int:
+        """Return which of these events, or errors, are pending at a descriptor."""
 
-def watch(loop: asyncio.AbstractEventLoop, descriptor: int) -> Callable[[], int]:
-    """The same for one descriptor that is looked at often: what is registered is kept for its life."""
-    of_loop: Look | None = getattr(loop, "unread", None)
-    if of_loop is not None:
-        return functools.partial(of_loop, descriptor, ANYTHING)
-    kept = select.poll()
-    kept.register(descriptor, ANYTHING)
-    poll = kept.poll
+    def read_poll(self, descriptor: int) -> Callable[[], int]:
+        """Return a function that polls one descriptor for READ_EVENTS, for a descriptor polled often."""
 
-    def look() -> int:
-        found = poll(0)
-        return found[0][1] if found else 0
 
-    return look
+def socket_poller(loop: asyncio.AbstractEventLoop) -> SocketPoller:
+    """Return the poller for the sockets of this loop."""
+    poll_socket = getattr(loop, "poll_socket", None)
+    return KernelPoller() if poll_socket is None else _SimulatedPoller(poll_socket)
 
 
-class Poll:
-    """Asks the kernel."""
+class KernelPoller:
+    """Polls the kernel's sockets."""
 
     def __init__(self) -> None:
         self._poll = select.poll()
 
-    def unread(self, descriptor: int, events: int) -> int:
-        """Which of the events, or errors, are there now."""
+    def poll(self, descriptor: int, events: int) -> int:
+        """Return which of these events, or errors, are pending at a descriptor."""
         self._poll.register(descriptor, events)
         try:
             found = self._poll.poll(0)
@@ -55,31 +51,59 @@
             self._poll.unregister(descriptor)
         return found[0][1] if found else 0
 
+    def read_poll(self, descriptor: int) -> Callable[[], int]:
+        """Return a function that polls one descriptor, which stays registered for the function's life."""
+        registered = select.poll()
+        registered.register(descriptor, READ_EVENTS)
+        poll = registered.poll
+
+        def poll_descriptor() -> int:
+            found = poll(0)
+            return found[0][1] if found else 0
+
+        return poll_descriptor
+
+
+class _SimulatedPoller:
+    """Polls the sockets of a simulated loop."""
+
+    def __init__(self, poll_socket: Callable[[int, int], int]) -> None:
+        self.poll = poll_socket
+
+    def read_poll(self, descriptor: int) -> Callable[[], int]:
+        return functools.partial(self.poll, descriptor, READ_EVENTS)
+
 
-def has_ended(found: int) -> bool:
-    """Whether the other side has ended its sending, or the connection is broken."""
-    return bool(found & _ENDED)
+def peer_has_closed(events: int) -> bool:
+    """Whether these pending events say that the peer has ended its sending, or the connection is broken."""
+    return bool(events & _CLOSE_EVENTS)
 
 
-def accept_rest(
+def accept_pending(
     loop: asyncio.AbstractEventLoop,
     listener: asyncio.Server,
-    take: Callable[[socket.socket], None],
-    most: int,
+    on_accept: AcceptCallback,
+    limit: int,
 ) -> bool:
-    """Accept whoever waits at a listener for the loop to do so, up to `most`; whether there may be more."""
-    of_loop = getattr(loop, "accept_rest", None)
-    for held in listener.sockets:
-        if of_loop is not None:
-            most -= of_loop(held, take, most)
-            continue
-        # No descriptor of its own: there may be none.
-        own = socket.socket(fileno=held.fileno())
-        with suppress(OSError):  # nobody is left, or no descriptor is
-            while most > 0:
-                sock, _ = own.accept()
-                sock.setblocking(False)
-                take(sock)
-                most -= 1
-        own.detach()
-    return most <= 0
+    """Accept up to `limit` connections from a listener's backlog; returns whether there may be more."""
+    accept_simulated = getattr(loop, "accept_pending", None)
+    for listening in listener.sockets:
+        if accept_simulated is not None:
+            limit -= accept_simulated(listening, on_accept, limit)
+        else:
+            limit -= _accept_backlog(listening.fileno(), on_accept, limit)
+    return limit <= 0
+
+
+def _accept_backlog(descriptor: int, on_accept: AcceptCallback, limit: int) -> int:
+    accepted = 0
+    # A second socket object over the same descriptor: none may be left for a duplicate.
+    listening = socket.socket(fileno=descriptor)
+    with suppress(OSError):  # the backlog is empty, or no descriptor is left for a connection
+        while accepted < limit:
+            sock, _ = listening.accept()
+            sock.setblocking(False)
+            on_accept(sock)
+            accepted += 1
+    listening.detach()
+    return accepted
--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, Protocol, cast
 
 from pebblepass.daemon.gathered import GatherBudget
-from pebblepass.daemon.unread import watch
+from pebblepass.daemon.unread import socket_poller
 from pebblepass.decisions import CacheNote, Outcome
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import MAX_ANSWER
@@ -154,7 +154,8 @@
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
-        self._look = watch(self.server.pool.loop, self.transport.get_extra_info("socket").fileno())
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        self._look = socket_poller(self.server.pool.loop).read_poll(descriptor)
 
     def pause_writing(self) -> None:
         """Note that the kernel has not taken every byte."""
--- a/pebblepass/rehearsal/clock.py
+++ b/pebblepass/rehearsal/clock.py
@@ -362,8 +362,8 @@
         super().close()
         self.network.close()
 
-    def unread(self, descriptor: int, events: int) -> int:
-        """Which of these events of `poll`, or errors, stand at a descriptor: by the count, as all here."""
+    def poll_socket(self, descriptor: int, events: int) -> int:
+        """Return which of these events of `poll`, or errors, are pending at a simulated descriptor."""
         held = self.network.by_fd.get(descriptor)
         half = held.incoming if held is not None else None
         if half is None:
@@ -372,13 +372,14 @@
         found |= select.POLLRDHUP if half.ended or half.reset else 0
         return found & events | (select.POLLERR | select.POLLHUP if half.reset else 0)
 
-    def accept_rest(self, listener: Any, take: Callable[[socket.socket], None], most: int) -> int:
-        """Accept whoever waits at a listener that is about to close, up to `most`; returns how many."""
-        held, taken = self.network.by_fd[listener.fileno()], 0
-        while held.pending and taken < most:
-            take(held.accept()[0])
-            taken += 1
-        return taken
+    def accept_pending(self, listener: Any, on_accept: Callable[[socket.socket], None], limit: int) -> int:
+        """Accept up to `limit` connections from a listener's backlog; returns how many."""
+        listening = self.network.by_fd[listener.fileno()]
+        accepted = 0
+        while listening.pending and accepted < limit:
+            on_accept(listening.accept()[0])
+            accepted += 1
+        return accepted
 
     def stall(self, seconds: float) -> None:
         """Let time go by within the callback that calls this, as work that holds up the loop does."""
