--- a/tests/rehearsal/test_deadlines.py
+++ b/tests/rehearsal/test_deadlines.py
@@ -9,7 +9,7 @@
 
 from pebblepass.daemon import deadline_propagation
 from pebblepass.daemon.attempts import Attempt
-from pebblepass.daemon.many import ManyRead
+from pebblepass.daemon.many_keys.reading import ManyRead
 from pebblepass.rehearsal.page import as_page, deadline_line
 from pebblepass.rehearsal.plan import Plan, make_plan
 from pebblepass.rehearsal.referee import Rule
