Name the clients' connections in the field's terms: liveness, handover, eviction

The module spoke of clients that are heard, give their place and go. Liveness, disconnects, the handover of a connection, evictions and timeouts have their standard names now, and the docstrings say what the code does. Handling a read, the timeouts, and whether a connection may be handed over are short functions of their own. Tests change in names only. Behaviour is unchanged.

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -1,4 +1,4 @@
-"""The RESP2 server that clients talk to: their connections, and answers in the order of the commands."""
+"""The RESP2 server for clients: it accepts their connections, and replies in the order of their commands."""
 
 from __future__ import annotations
 
@@ -26,59 +26,60 @@
 BACKLOG = 1024
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
-IDLE_S = 2.0  # after which a connection without an open request may be closed, also one that never had any
-COMMAND_S = 2.0  # in which a command must be whole; with a sweep's wait well within the 3 s of DAYS
-STALL_S = 10.0  # in which a client must take something of what waits for it
-SWEEP_S = 0.5
-PAUSED_S = 0.1  # between two looks whether those have left that are not read, to let go of what they asked
-HEARD_S = 0.05  # for which a client that was heard counts as there: 0.1 s after it has gone nothing may begin
-MOST_ASKED = 4  # connections that are asked for their place before a newcomer has none
+IDLE_TIMEOUT_S = 2.0  # after which a connection without an open request is closed, even if it never had one
+COMMAND_TIMEOUT_S = 2.0  # for receiving one command; well within the platform's 3 s, with a sweep's delay
+WRITE_STALL_TIMEOUT_S = 10.0  # within which a client must read some of its buffered replies
+SWEEP_INTERVAL_S = 0.5
+PAUSED_POLL_INTERVAL_S = 0.1  # between two polls of the connections that are not read, for disconnects
+# For which a client counts as alive. The platform forbids attempts that begin over 0.1 s after a disconnect.
+LIVENESS_TTL_S = 0.05
+MAX_EVICTION_CHECKS = 4  # connections considered for eviction before a new one is rejected
 
 log = logging.getLogger("pebblepass")
 
 
-class Heard(Protocol):
-    """What knows how old the news of the sockets is."""
+class PollTimes(Protocol):
+    """Tells when the event loop last polled its sockets."""
 
     sockets_polled_at: float
     """Loop time in seconds; every socket that was readable at this time has been read from since."""
 
 
 class Host(Protocol):
-    """What takes the clients' requests."""
+    """Handles the clients' requests for a single key."""
 
     ready: bool
 
     @property
-    def lag(self) -> Heard:
-        """What the loop's lateness hides."""
+    def lag(self) -> PollTimes:
+        """The lag of the event loop."""
 
     def request_arrived(self, command: Command, reply: Reply) -> None:
-        """A request is whole."""
+        """Handle a request that was received completely."""
 
     def client_gone(self, reply: Reply) -> None:
-        """The client that waits for this reply has left."""
+        """Drop the request behind this reply: its client has disconnected."""
 
     def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
-        """A request was answered at a limit, and never taken further."""
+        """Account for a request that was rejected before it was handled."""
 
 
-class Commands(Protocol):
-    """What takes reads of many keys."""
+class MultiKeyHost(Protocol):
+    """Handles the clients' commands that read many keys."""
 
     def arrived(self, words: list[bytes], reply: Reply, refusing: bool) -> None:
-        """A command is whole."""
+        """Handle a command that was received completely; `refusing`: reject its keys."""
 
 
 class Budget:
-    """Bytes for long commands: they are set aside before the command is read, so that all can be finished."""
+    """Memory for long commands, reserved before a command is read, so that each one begun can be finished."""
 
     def __init__(self, total: int) -> None:
         self._total = self._free = total
         self._waiting: deque[ClientConnection] = deque()
 
     def take(self, connection: ClientConnection, size: int) -> bool:
-        """Set bytes aside; without enough of them the connection waits in line."""
+        """Reserve bytes; returns False and queues the connection where too few are free."""
         if size > self._free:
             self._waiting.append(connection)
             return False
@@ -86,12 +87,12 @@
         return True
 
     def resize(self, total: int) -> None:
-        """Set another total; what is set aside stays so."""
+        """Change the total; reservations stay."""
         self._total, self._free = total, self._free + total - self._total
         self.give_back(0)
 
     def give_back(self, size: int) -> None:
-        """Free bytes, and let those that wait go on."""
+        """Release reserved bytes, and let the queued connections try again."""
         self._free += size
         waiting, self._waiting = self._waiting, deque()
         while waiting:
@@ -101,30 +102,30 @@
 
 
 class Reply:
-    """The place of one answer among those of its connection."""
+    """The reply to one command; replies are written in the order of the commands on the connection."""
 
     def __init__(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._held: list[bytes] = []
         self.done = False
         self.source: ValueSource | None = None
-        self.request: Any = None  # the host's
+        self.request: Any = None  # set and read by the host
         self.reserved = 0
 
     def send(self, data: bytes) -> None:
-        """Give the whole answer, or its last part."""
+        """Write the whole reply, or its last part."""
         self.write(data)
         self.done, self.source = True, None
         self._connection.flush()
 
     def start(self, data: bytes, source: ValueSource) -> None:
-        """Begin an answer that comes in parts; the source is paused while the client can't take more."""
+        """Begin a streamed reply; the source is paused while the client does not read."""
         self.source = source
         if not self.write(data) or self._connection.blocked:
             source.pause()
 
     def write(self, data: bytes) -> bool:
-        """Write a part once the answers ahead are written; False: it is held back."""
+        """Write a part; returns False if it is buffered until the replies ahead are written."""
         connection = self._connection
         if connection.closed:
             return True
@@ -136,40 +137,40 @@
 
     @property
     def in_turn(self) -> bool:
-        """Whether all answers ahead are written."""
+        """Whether all replies ahead are written."""
         replies = self._connection.replies
         return bool(replies) and replies[0] is self
 
     @property
     def unread_ns(self) -> int:
-        """Nanoseconds for which its command may have stood unread, while that command is being taken."""
+        """Nanoseconds for which the command may have been unread; valid only while it is being dispatched."""
         return self._connection.unread_ns
 
     @property
     def null(self) -> bytes:
-        """The null in the client's protocol."""
-        greeted = self._connection.greeted
-        return b"$-1\r\n" if greeted is None or greeted.protocol == 2 else b"_\r\n"
+        """The null value in the client's protocol version."""
+        session = self._connection.session
+        return b"$-1\r\n" if session is None or session.protocol == 2 else b"_\r\n"
 
     def awaited(self) -> bool:
-        """Whether its client is there: it has been heard just now, or is looked at."""
-        return self._connection.client_there()
+        """Whether the client is still connected, by a recent read or else by a poll."""
+        return self._connection.is_alive()
 
     def abandoned(self) -> None:
-        """Its request is let go already: the connection's end tells nobody of it."""
+        """Detach the request, which the host has dropped: the disconnect will not be reported for it."""
         self.request = None
 
     def cut_off(self) -> None:
-        """End a begun answer so that the client sees that it is not whole."""
+        """Abort the connection, so that the client sees that a streamed reply is incomplete."""
         self._connection.abort()
 
     def forgotten(self) -> None:
-        """The host needs the command no longer."""
+        """Release the memory reserved for the command, which the host needs no longer."""
         self._connection.server.budget.give_back(self.reserved)
         self.reserved = 0
 
     def its_turn(self) -> None:
-        """The answers ahead have been written."""
+        """Write what is buffered: the replies ahead have been written."""
         for data in self._held:
             self._connection.write(data)
         self._held.clear()
@@ -178,68 +179,73 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One client's connection."""
+    """One client's connection: parses commands, orders replies, and detects the client's disconnect."""
 
     def __init__(
         self, server: ClientServer, handed: Handed | None = None, empty_at: float | None = None
     ) -> None:
-        """`handed`: what another process has begun on it; `empty_at`: when nothing stood unread on it."""
-        self.server, self._handed = server, handed
+        """`handed`: its state in the process that handed it over; `empty_at`: a time without unread bytes."""
+        self.server = server
+        self._handed = handed
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
-        self.used_at = server.loop.time()
+        self.last_used_at = server.loop.time()
         self._reader = CommandReader(server.many is not None)
-        self.greeted: Greeted | None = None
+        self.session: Greeted | None = None
         self._reading = True
-        self._reserved = 0  # set aside for the command under way
-        self._begun_at = self.used_at  # the first command's time runs from the start of the connection
-        self._spoken = False  # it has brought a whole command
-        self._starved = False  # waits for the budget
-        self._last = False
-        self._ending = False  # it is closed for the router's own end, once it has nothing open
+        self._reserved = 0  # bytes of the budget, for the command being received
+        # The first command is timed from the start of the connection.
+        self._command_started_at = self.last_used_at
+        self._has_sent_command = False
+        self._awaits_budget = False
+        self._closes_when_idle = False  # no further command is expected
+        self._draining = False  # it is closed for the router's shutdown, once it has nothing open
         self._descriptor = -1
         # Danger: before the first read nothing is known, as a connection may have waited long to be accepted.
-        self._heard_at, self._read_at = float("-inf"), float("inf")
-        self._has_left = False
-        # One that was accepted just now has come since the last look at the listener.
+        self._confirmed_alive_at = float("-inf")
+        self._last_read_at = float("inf")
+        self._disconnect_detected = False
+        # A connection accepted just now has arrived since the listener was last polled.
         self._unread_age = UnreadAge(server.lag.sockets_polled_at if empty_at is None else empty_at)
-        self._reading_since = self.used_at
+        self._reading_since = self.last_used_at
+        self._unsent = 0  # size of the write buffer at the last sweep
         self.unread_ns = 0
-        """Nanoseconds for which what was read last may have stood unread."""
+        """Nanoseconds for which the bytes of the last read may have been unread."""
         self.refusing = False
-        self.given = False
-        """Whether it is on its way to another process."""
+        """Whether it is over the connection limit: its commands are rejected."""
+        self.in_handover = False
+        """Whether it is being handed over to another process."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the transport."""
+        """Start serving; continues the command that another process began, if any."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self._descriptor = self.transport.get_extra_info("socket").fileno()
-        self.server.opened(self)
+        self.server.register(self)
         if self._handed is not None and not self.transport.is_closing():
-            self._go_on(self._handed)  # before anything further is read
+            self._restore(self._handed)  # before anything else is read
             self._handed = None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Take the end of the connection."""
-        self._leave()
+        """Drop the open requests."""
+        self._handle_disconnect()
 
     def eof_received(self) -> bool:
-        """Take the end of the client's sending: it has gone away."""
-        self._leave()
+        """Treat the end of the client's sending as its disconnect."""
+        self._handle_disconnect()
         if self.transport is not None and self.transport.get_write_buffer_size():
-            # Danger: closed, it keeps its descriptor until its client takes the rest, be it never, and is in
-            # no sum any longer.
+            # Danger: a transport that is closed rather than aborted keeps its descriptor until its client has
+            # read the rest, which may be never, and no limit counts that descriptor any longer.
             self.transport.abort()
         return False
 
-    def _leave(self) -> None:
+    def _handle_disconnect(self) -> None:
         if self.closed:
             return
         self.closed = True
-        # Danger: one that stays listed holds its memory, fills the limit, and keeps a drain from ending.
-        self.server.closed(self)
+        # Danger: a connection left registered holds its memory, counts in the limit, and blocks a drain.
+        self.server.unregister(self)
         if self._reserved:
             self.server.budget.give_back(self._reserved)
         replies, self.replies = self.replies, deque()
@@ -248,58 +254,68 @@
                 self.server.host.client_gone(reply)
 
     def data_received(self, data: bytes) -> None:
-        """Read what came."""
+        """Parse and dispatch the commands in the data."""
         try:
-            self._read(data)
+            self._parse(data)
         except Exception:
             log.exception("reading a command failed")
             self.abort()
 
-    def _read(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> None:
         reader = self._reader
-        self._heard_at = self._last_heard()  # what stands behind these bytes is read a turn later
-        if self._reading and self._reading_since < (heard := self.server.lag.sockets_polled_at):
-            self._unread_age.emptied(heard)
-        self._read_at = self.used_at = now = self.server.loop.time()
-        self.unread_ns = int(self._unread_age.read(now, len(data)) * 1e9)
-        fresh = not reader.need
+        self._record_read(len(data))
+        starts_command = not reader.need
         commands = reader.feed(data)
-        if len(commands) > 1 and self.client_has_left():
-            # Danger: what somebody has sent at once before going would be sent on for nobody.
+        if len(commands) > 1 and self.client_has_disconnected():
+            # Danger: commands of a client that sent several and disconnected would be sent on for nobody.
             self.abort()
             return
-        self._spoken = self._spoken or bool(commands)
+        self._has_sent_command = self._has_sent_command or bool(commands)
         for words in commands:
             reply = Reply(self)
             reply.reserved, self._reserved = self._reserved, 0
             self.replies.append(reply)
-            self._take(words, reply)
+            self._dispatch(words, reply)
         if reader.broken:
-            reply = Reply(self)
-            self.replies.append(reply)
-            self._last = True
-            self._set_reading()
-            reply.send(b"-ERR Protocol error: %b\r\n" % reader.broken.encode())
+            self._reject_broken(reader.broken)
         elif reader.need:
-            if commands or (fresh and self._spoken):
-                self._begun_at = self.used_at
-            if reader.need > LARGE and not self._reserved and not self._starved:
+            if commands or (starts_command and self._has_sent_command):
+                self._command_started_at = self.last_used_at
+            if reader.need > LARGE and not self._reserved and not self._awaits_budget:
                 self.reserve()
         elif self._reserved:
             self.server.budget.give_back(self._reserved)
             self._reserved = 0
         if len(self.replies) >= MAX_PIPELINE:
-            self._set_reading()
+            self._update_reading()
+
+    def _record_read(self, size: int) -> None:
+        """Update the times of liveness and the age of the unread bytes for a read of so many bytes."""
+        # Not now: an end of file behind these bytes is read an iteration later.
+        self._confirmed_alive_at = self._last_alive_at()
+        polled_at = self.server.lag.sockets_polled_at
+        if self._reading and self._reading_since < polled_at:
+            self._unread_age.emptied(polled_at)
+        self._last_read_at = self.last_used_at = now = self.server.loop.time()
+        self.unread_ns = int(self._unread_age.read(now, size) * 1e9)
+
+    def _reject_broken(self, problem: str) -> None:
+        """Reply to bytes that are no command, and close."""
+        reply = Reply(self)
+        self.replies.append(reply)
+        self._closes_when_idle = True
+        self._update_reading()
+        reply.send(b"-ERR Protocol error: %b\r\n" % problem.encode())
 
     def reserve(self) -> None:
-        """Set aside what the command under way needs, or wait for it."""
-        self._starved = not self.server.budget.take(self, self._reader.need)
-        if not self._starved:
+        """Reserve memory for the command being received, or wait until some is released."""
+        self._awaits_budget = not self.server.budget.take(self, self._reader.need)
+        if not self._awaits_budget:
             self._reserved = self._reader.need
-            self._begun_at = self.server.loop.time()
-        self._set_reading()
+            self._command_started_at = self.server.loop.time()
+        self._update_reading()
 
-    def _take(self, words: list[bytes], reply: Reply) -> None:
+    def _dispatch(self, words: list[bytes], reply: Reply) -> None:
         if len(words) == 1 and words[0].upper() == b"PING":
             reply.send(b"+PONG\r\n" if self.server.host.ready else b"-LOADING no list of servers yet\r\n")
             reply.forgotten()
@@ -307,38 +323,38 @@
         try:
             command = parse_request(words)
         except UnknownCommandError:
-            self._take_other(words, reply)
+            self._dispatch_other(words, reply)
             return
         except ValueError as error:
             reply.send(b"-ERR %b\r\n" % str(error).encode())
             reply.forgotten()
             return
-        if self.refusing or self.server.ending:
-            self._last = True
+        if self.refusing or self.server.shutting_down:
+            self._closes_when_idle = True
             reply.send(b"-BUSY\r\n")
             self.server.host.turned_away(command, refused="connections" if self.refusing else "router ends")
             reply.forgotten()
             return
         self.server.host.request_arrived(command, reply)
 
-    def _take_other(self, words: list[bytes], reply: Reply) -> None:
-        """Take what is neither a read nor a write of one key."""
+    def _dispatch_other(self, words: list[bytes], reply: Reply) -> None:
+        """Dispatch a command that is neither a read nor a write of one key."""
         server = self.server
         if server.many is not None and words[0].upper() == MANY:
-            self._last = self._last or self.refusing
+            self._closes_when_idle = self._closes_when_idle or self.refusing
             server.many.arrived(words, reply, self.refusing)
             return
-        # Loaded when the first client greets: those of the platform never do.
+        # Imported with the first handshake: the platform's clients have none.
         from pebblepass.daemon.greetings import Greeted, greet
 
-        if self.greeted is None:
-            server.greeted += 1
-            self.greeted = Greeted(server.greeted)
+        if self.session is None:
+            server.session_count += 1
+            self.session = Greeted(server.session_count)
         try:
-            answer = greet(words, self.greeted, server.host.ready, server.connected)
+            answer = greet(words, self.session, server.host.ready, server.connected)
         except UnknownCommandError as error:
             answer = b"-ERR %b\r\n" % str(error).encode()
-        self._last = self._last or self.greeted.leaves
+        self._closes_when_idle = self._closes_when_idle or self.session.leaves
         reply.send(answer)
         reply.forgotten()
 
@@ -348,88 +364,90 @@
             self.transport.write(data)
 
     def flush(self) -> None:
-        """Go on to the next answer that is due."""
+        """Start the next reply; without one, close the connection or hand it over if that is pending."""
         replies = self.replies
         while replies and replies[0].done:
             replies.popleft()
             if replies:
                 replies[0].its_turn()
         if not replies:
-            self.used_at = self.server.loop.time()
-        if not replies and self._last and self.transport is not None:
-            # Danger: a request that has come meanwhile is taken, and the reset that answers unread bytes may
-            # take the last answer with it.
-            if not (self._ending and self.has_unread()):
+            self.last_used_at = self.server.loop.time()
+        if not replies and self._closes_when_idle and self.transport is not None:
+            # Danger: closing with unread bytes loses a request, and sends a reset that may destroy the
+            # last reply.
+            if not (self._draining and self.has_unread()):
                 self.transport.close()
-        elif not replies and self.server.give is not None:
-            self.server.loop.call_soon(self.hand_on)  # the answer has still to leave
+        elif not replies and self.server.on_handover is not None:
+            self.server.loop.call_soon(self.hand_over)  # the reply is still to be written
         elif not self._reading:
-            self._set_reading()
+            self._update_reading()
 
     def pause_writing(self) -> None:
-        """The client does not take what it asked for: read no more for it, from it or for its answer."""
+        """Pause reading from the client and from the source of its reply: it does not read its replies."""
         self.blocked = True
-        self.used_at = self.server.loop.time()
-        self._set_reading()
+        self.last_used_at = self.server.loop.time()
+        self._update_reading()
         if self.replies and self.replies[0].source is not None:
             self.replies[0].source.pause()
 
     def resume_writing(self) -> None:
-        """The client takes again."""
+        """Resume reading: the client reads its replies again."""
         self.blocked = False
-        self._set_reading()
+        self._update_reading()
         if self.replies and self.replies[0].source is not None:
             self.replies[0].source.resume()
 
-    def _set_reading(self) -> None:
+    def _update_reading(self) -> None:
         full = len(self.replies) >= MAX_PIPELINE
-        wanted = not (self.blocked or self._starved or self._reader.broken or full or self.given)
+        wanted = not (self.blocked or self._awaits_budget or self._reader.broken or full or self.in_handover)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
-        if wanted and self.client_has_left():
-            # Danger: what it sent before it left would be sent on, however long ago that was.
+        if wanted and self.client_has_disconnected():
+            # Danger: commands sent before the disconnect would be sent on, however long ago that was.
             self.server.loop.call_soon(self.abort)
             return
         self._reading = wanted
         if wanted:
-            self._read_at = self._reading_since = self.server.loop.time()
+            self._last_read_at = self._reading_since = self.server.loop.time()
             self.transport.resume_reading()
         else:
             self.transport.pause_reading()
-            self.server.watch_paused()
+            self.server.schedule_paused_poll()
 
-    def client_has_left(self) -> bool:
-        """Whether its end, or a reset, stands in the kernel, perhaps behind bytes that nobody has read."""
+    def client_has_disconnected(self) -> bool:
+        """Poll whether the client has closed or reset the connection, perhaps behind unread bytes."""
         if self.transport is None or self.transport.is_closing():
             return False
         found = self.server.poll_socket(self._descriptor, READ_EVENTS)
         if peer_has_closed(found):
             return True
-        self._heard_at = self.server.loop.time()
+        self._confirmed_alive_at = self.server.loop.time()
         if not found & select.POLLIN:
-            self._unread_age.emptied(self._heard_at)
+            self._unread_age.emptied(self._confirmed_alive_at)
         return False
 
-    def _last_heard(self) -> float:
-        """A time before which its client had not gone, in seconds of the loop."""
-        heard = self.server.lag.sockets_polled_at
-        return max(heard, self._heard_at) if self._reading and self._read_at < heard else self._heard_at
+    def _last_alive_at(self) -> float:
+        """Return the latest loop time at which the client is known to have been connected."""
+        polled_at = self.server.lag.sockets_polled_at
+        if self._reading and self._last_read_at < polled_at:
+            return max(polled_at, self._confirmed_alive_at)
+        return self._confirmed_alive_at
 
-    def client_there(self) -> bool:
-        """Whether an attempt may begin for its client: where the last news is old, the kernel is asked."""
-        if self._has_left or self.closed or self.transport is None or self.transport.is_closing():
+    def is_alive(self) -> bool:
+        """Whether the client is connected; polls if that was last known more than LIVENESS_TTL_S ago."""
+        if self._disconnect_detected or self.closed or self.transport is None or self.transport.is_closing():
             return False
-        if self.server.loop.time() - self._last_heard() <= HEARD_S:
+        if self.server.loop.time() - self._last_alive_at() <= LIVENESS_TTL_S:
             return True
-        if self.client_has_left():
-            self._has_left = True
-            # In a turn of its own: whoever asks is in the midst of another request's affairs.
+        if self.client_has_disconnected():
+            self._disconnect_detected = True
+            # In an iteration of its own: the caller may be handling another request.
             self.server.loop.call_soon(self.abort)
             return False
         return True
 
     def has_unread(self) -> bool:
-        """Whether a client that is there has sent something that will be read in the next turn."""
+        """Whether a connected client has sent bytes that will be read in the next iteration of the loop."""
         if not self._reading or self.transport is None or self.transport.is_closing():
             return False
         found = self.server.poll_socket(self._descriptor, READ_EVENTS)
@@ -437,212 +455,217 @@
 
     @property
     def paused(self) -> bool:
-        """Whether its end would not be heard."""
-        return not (self._reading or self.given or self.closed)
+        """Whether it is not read, so that only a poll detects its disconnect."""
+        return not (self._reading or self.in_handover or self.closed)
 
     @property
     def idle(self) -> bool:
-        """Whether it stands between requests."""
+        """Whether it has neither an open request nor a partial command."""
         return not self.replies and not self._reader.need
 
     @property
     def standing(self) -> Standing:
-        """Where it stands, for whoever looks for a place."""
-        if self.replies or self.given:
+        """Its state, by which connections are chosen for eviction."""
+        if self.replies or self.in_handover:
             return Standing.BUSY
         if self._reader.need:
             return Standing.MIDWAY
-        return Standing.BETWEEN if self._spoken else Standing.NEW
+        return Standing.BETWEEN if self._has_sent_command else Standing.NEW
 
     def finish(self, even_midway: bool) -> None:
-        """Close once nothing is open; `even_midway`: also in the midst of a command."""
+        """Close once nothing is open; `even_midway`: also with a partial command."""
         if self.transport is None or self.closed:
             return
-        new = not (self._spoken or self.replies)
+        new = not (self._has_sent_command or self.replies)
         if not self.replies and (even_midway or not (self._reader.need or new)):
-            self._last = self._ending = True
+            self._closes_when_idle = self._draining = True
             if not self.has_unread():
                 self.transport.close()
         elif self.replies and (even_midway or not self._reader.need):
-            self._last = self._ending = True
+            self._closes_when_idle = self._draining = True
 
-    def hand_on(self) -> None:
-        """Give it to another process now, if nothing is open and little of a command has come.
+    def hand_over(self) -> None:
+        """Hand the connection over to another process if it is idle, or has received little of a command.
 
-        Else it is asked for again when its last answer has been given.
+        Otherwise this is called again when its last reply has been written.
         """
-        unfit = (
-            self._last
-            or self.given
-            or self.closed
-            or self.blocked
-            or self._starved
-            or self._reserved
-            or self.refusing
-        )
-        if self.transport is None or self.transport.is_closing() or unfit or self.replies:
+        if self.server.on_handover is None or self.transport is None or not self._may_be_handed_over():
             return
-        # Loaded with the first hand-over: where there never is one it costs nothing.
+        # Imported with the first handover: most processes never have one.
         from pebblepass.handover.messages import MOST_HELD
 
-        if self.server.give is None or self._reader.held_bytes > MOST_HELD:
+        if self._reader.held_bytes > MOST_HELD:
             return
-        # Danger: answers that the kernel has not taken are lost with this process.
+        # Danger: replies that the kernel has not accepted are lost with this process.
         if self.transport.get_write_buffer_size():
             return
         if self._reading:
             self.transport.pause_reading()
             self._reading = False
-        self.given = True
-        self.server.give(self)
+        self.in_handover = True
+        self.server.on_handover(self)
+
+    def _may_be_handed_over(self) -> bool:
+        if self.transport is None or self.transport.is_closing() or self.replies:
+            return False
+        ends = self._closes_when_idle or self.closed or self.refusing
+        waits = self.blocked or self._awaits_budget or self._reserved
+        return not (ends or waits or self.in_handover)
 
     @property
     def descriptor(self) -> int:
-        """The number of its descriptor."""
+        """The file descriptor of its socket."""
         assert self.transport is not None
-        held: int = self.transport.get_extra_info("socket").fileno()
-        return held
+        descriptor: int = self.transport.get_extra_info("socket").fileno()
+        return descriptor
 
-    def handed(self) -> Handed:
-        """What goes with it."""
+    def handover_state(self) -> Handed:
+        """The state that the other process needs to continue this connection."""
         from pebblepass.handover.messages import Handed
 
-        begun = max(int((self.server.loop.time() - self._begun_at) * 1000), 0)
-        greeted = self.greeted
-        told = (greeted.protocol, greeted.name, greeted.number) if greeted is not None else (0, b"", 0)
-        return Handed(self._reader.held, begun, self._spoken, *told)
+        command_age_ms = max(int((self.server.loop.time() - self._command_started_at) * 1000), 0)
+        session = self.session
+        handshake = (session.protocol, session.name, session.number) if session is not None else (0, b"", 0)
+        return Handed(self._reader.held, command_age_ms, self._has_sent_command, *handshake)
 
-    def taken_back(self) -> None:
-        """The other process could not have it."""
-        self.given = False
-        self._set_reading()
+    def cancel_handover(self) -> None:
+        """Serve the connection again: the other process could not accept it."""
+        self.in_handover = False
+        self._update_reading()
 
-    def left(self) -> None:
-        """The other process has it: let go of the descriptor, and of nothing else."""
+    def complete_handover(self) -> None:
+        """Release the descriptor: the other process serves the connection now."""
         self.closed = True
-        self.server.closed(self)
+        self.server.unregister(self)
         if self.transport is not None:
             self.transport.abort()
 
-    def _go_on(self, handed: Handed) -> None:
-        self._spoken = handed.spoken
+    def _restore(self, handed: Handed) -> None:
+        """Restore the state that came with a handover."""
+        self._has_sent_command = handed.spoken
         if handed.protocol:
             from pebblepass.daemon.greetings import Greeted
 
-            self.server.greeted += 1
-            self.greeted = Greeted(handed.number, handed.protocol, handed.name)
+            self.server.session_count += 1
+            self.session = Greeted(handed.number, handed.protocol, handed.name)
         if handed.held:
-            unread_age, self._unread_age = self._unread_age, UnreadAge(self.used_at)
+            unread_age, self._unread_age = self._unread_age, UnreadAge(self.last_used_at)
             self.data_received(handed.held)
-            self._unread_age = unread_age  # nothing has been read from the socket itself
-            self._begun_at = self.server.loop.time() - handed.begun_ms / 1000
+            self._unread_age = unread_age  # these bytes were not read from the socket
+            self._command_started_at = self.server.loop.time() - handed.begun_ms / 1000
 
     def abort(self) -> None:
-        """Break the connection."""
+        """Abort the connection, and drop its open requests."""
         if self.transport is not None:
             self.transport.abort()
-        self._leave()
+        self._handle_disconnect()
 
-    def check(self, now: float) -> None:
-        """Close it if the client is too slow."""
-        if self.given:
+    def enforce_timeouts(self, now: float) -> None:
+        """Close the connection if its client has exceeded a timeout."""
+        if self.in_handover:
             return
         if self.blocked:
-            assert self.transport is not None
-            size = self.transport.get_write_buffer_size()
-            if size != self._unsent:
-                self._unsent, self.used_at = size, now
-            if now - self.used_at > STALL_S:
-                log.warning("a client takes nothing of its answer")
-                self.abort()
-            return
-        if self.idle:
-            # Guards the limit and the memory against clients that connect and say nothing, or ask once
-            # and keep their connection for good.
-            if now - self.used_at > IDLE_S and self.transport is not None and not self.has_unread():
-                self.transport.close()
-            return
-        # One that waits for bytes to be set aside is owed an answer in the same time.
-        midway = self._reader.need and not self.replies
-        if midway and now - self._begun_at > COMMAND_S:
-            log.warning("a client does not finish its command")
-            # Guards those that wait for bytes behind it: they are checked next, and have waited as long.
-            reserved, self._reserved = self._reserved, 0
-            self.server.budget.give_back(reserved)
-            self._last = True
-            reply = Reply(self)
-            self.replies.append(reply)
-            reply.send(b"-ERR Protocol error: command not finished in time\r\n")
+            self._check_write_stall(now)
+        elif self.idle:
+            self._check_idle(now)
+        # A client that waits for memory is owed a reply within the same time.
+        elif self._reader.need and not self.replies and now - self._command_started_at > COMMAND_TIMEOUT_S:
+            self._reject_unfinished()
+
+    def _check_write_stall(self, now: float) -> None:
+        assert self.transport is not None
+        size = self.transport.get_write_buffer_size()
+        if size != self._unsent:
+            self._unsent, self.last_used_at = size, now
+        if now - self.last_used_at > WRITE_STALL_TIMEOUT_S:
+            log.warning("a client takes nothing of its answer")
+            self.abort()
+
+    def _check_idle(self, now: float) -> None:
+        # Guards the limit and the memory against clients that connect without a request, or keep their
+        # connection for good after one.
+        if now - self.last_used_at > IDLE_TIMEOUT_S and self.transport is not None and not self.has_unread():
+            self.transport.close()
 
-    _unsent = 0
+    def _reject_unfinished(self) -> None:
+        log.warning("a client does not finish its command")
+        # Guards connections queued for memory behind this one: they are next, and have waited as long.
+        reserved, self._reserved = self._reserved, 0
+        self.server.budget.give_back(reserved)
+        self._closes_when_idle = True
+        reply = Reply(self)
+        self.replies.append(reply)
+        reply.send(b"-ERR Protocol error: command not finished in time\r\n")
 
 
 class ClientServer:
-    """The listener and all clients' connections, within their share of descriptors."""
+    """The listener and all clients' connections, within the limit on descriptors."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int, refusers: int = REFUSERS
     ) -> None:
-        """`limit` connections are served; `refusers` more are told that they are not."""
+        """`limit` connections are served; the commands of `refusers` more are rejected."""
         self.loop, self.host, self._limit, self._refusers = loop, host, limit, refusers
         self.poll_socket, self.lag = socket_poller(loop).poll, host.lag
-        self.ending = False
-        """Whether what still comes is refused: the router ends before it could be answered."""
+        self.shutting_down = False
+        """Whether commands are rejected: the router exits before it could reply."""
         self._paused_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self.many: Commands | None = None
-        self.greeted = 0
-        """Connections on which a client has said something beside requests."""
+        self.many: MultiKeyHost | None = None
+        self.session_count = 0
+        """Number of connections with a handshake or another command that is no request."""
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
-        self.give: Callable[[ClientConnection], None] | None = None
-        """Takes each connection that has nothing open, for another process, where there is one."""
+        self.on_handover: Callable[[ClientConnection], None] | None = None
+        """Called with each idle connection while there is another process to hand it over to."""
         self.draining = False
-        """Whether nobody is accepted any longer."""
-        self._timer = loop.call_later(SWEEP_S, self._sweep)
+        """Whether no connection is accepted any longer."""
+        self._timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     @property
     def limit(self) -> int:
-        """Most connections that are served at a time."""
+        """Maximum number of connections served at a time."""
         return self._limit
 
     @limit.setter
     def limit(self, limit: int) -> None:
         self._limit = limit
-        while len(self._connections) > limit and (goes := self._goes()) is not None:
-            goes.abort()
+        while len(self._connections) > limit and (evicted := self._eviction_candidate()) is not None:
+            evicted.abort()
 
-    def _goes(self) -> ClientConnection | None:
-        """Who makes room; never one that has come or written just now, be it that nobody has read it yet."""
+    def _eviction_candidate(self) -> ClientConnection | None:
+        """The connection to evict for a new one, if any; never one that has unread bytes."""
         now = self.loop.time()
-        for _ in range(MOST_ASKED):
-            goes = makes_room((held, held.standing, now - held.used_at) for held in self._connections)
-            if goes is None or not goes.has_unread():
-                return goes
-            goes.used_at = now
+        for _ in range(MAX_EVICTION_CHECKS):
+            candidate = makes_room(
+                (each, each.standing, now - each.last_used_at) for each in self._connections
+            )
+            if candidate is None or not candidate.has_unread():
+                return candidate
+            candidate.last_used_at = now
         return None
 
-    def watch_paused(self) -> None:
-        """Look now and then whether clients have left whose connections are not read."""
+    def schedule_paused_poll(self) -> None:
+        """Poll for disconnects as long as there are connections that are not read."""
         if self._paused_timer is None:
-            self._paused_timer = self.loop.call_later(PAUSED_S, self._look_at_paused)
+            self._paused_timer = self.loop.call_later(PAUSED_POLL_INTERVAL_S, self._poll_paused)
 
-    def _look_at_paused(self) -> None:
+    def _poll_paused(self) -> None:
         self._paused_timer = None
         paused = [connection for connection in self._connections if connection.paused]
         for connection in paused:
-            if connection.client_has_left():
+            if connection.client_has_disconnected():
                 connection.abort()
         if paused:
-            self.watch_paused()
+            self.schedule_paused_poll()
 
     async def adopt(self, sock: socket.socket, handed: Handed) -> None:
-        """Go on with a connection of another process."""
+        """Serve a connection that another process has handed over."""
         await self._adopt(sock, functools.partial(ClientConnection, self, handed, self.lag.sockets_polled_at))
 
     async def listen(self, at: Address | socket.socket) -> None:
-        """Accept clients at this address, or on a socket that listens already."""
+        """Accept connections at this address, or on a socket that listens already."""
         self.draining = False
         make = functools.partial(ClientConnection, self)
         if isinstance(at, socket.socket):
@@ -650,12 +673,12 @@
         else:
             self._listener = await self.loop.create_server(make, *at, backlog=BACKLOG)
 
-    def opened(self, connection: ClientConnection) -> None:
-        """Take a new connection in, within the limit."""
+    def register(self, connection: ClientConnection) -> None:
+        """Register a new connection: at the limit one is evicted, or the new one is rejected."""
         if len(self._connections) >= self._limit:
-            goes = self._goes()
-            if goes is not None:
-                goes.abort()
+            evicted = self._eviction_candidate()
+            if evicted is not None:
+                evicted.abort()
             elif len(self._connections) < self._limit + self._refusers:
                 connection.refusing = True
             else:
@@ -663,32 +686,32 @@
                 return
         self._connections[connection] = None
 
-    def closed(self, connection: ClientConnection) -> None:
-        """Forget a connection."""
+    def unregister(self, connection: ClientConnection) -> None:
+        """Remove a connection that is closed or handed over."""
         self._connections.pop(connection, None)
 
     @property
     def listening(self) -> bool:
-        """Whether clients are accepted."""
+        """Whether connections are accepted."""
         return self._listener is not None
 
     @property
     def connected(self) -> int:
-        """How many connections there are."""
+        """Number of connections, including those whose commands are rejected."""
         return len(self._connections)
 
-    def accept_rest(self) -> bool:
-        """Take in one whom the kernel has accepted for this listener, which is about to close.
+    def accept_pending(self) -> bool:
+        """Accept one connection from the backlog of the listener, which is about to close.
 
-        Returns whether there may be more, for a later turn of the loop.
+        Returns whether there may be more, for a later iteration of the loop.
         """
-        # Danger: they have been let in, and may have asked: closed unheard, their requests are lost. And all
-        # at once, they would take the descriptors of dials and of discovery until they have their answer.
+        # Danger: the kernel has accepted them, and requests they have sent are lost if the listener closes.
+        # Accepted all at once, they would use up the descriptors that dials and discovery need.
         if self._listener is None:
             return False
-        return accept_pending(self.loop, self._listener, self._take_in, 1 - len(self._tasks))
+        return accept_pending(self.loop, self._listener, self._accept, 1 - len(self._tasks))
 
-    def _take_in(self, sock: socket.socket) -> None:
+    def _accept(self, sock: socket.socket) -> None:
         make = functools.partial(ClientConnection, self, None, self.lag.sockets_polled_at)
         task = self.loop.create_task(self._adopt(sock, make))
         self._tasks.add(task)
@@ -701,32 +724,32 @@
             sock.close()
 
     def stop_accepting(self) -> None:
-        """Accept nobody any longer."""
+        """Close the listener."""
         self.draining = True
         if self._listener is not None:
             self._listener.close()
             self._listener = None
 
-    def hand_on(self, give: Callable[[ClientConnection], None]) -> None:
-        """Give every connection away, now or once it has nothing open."""
-        self.give = give
+    def hand_over(self, on_handover: Callable[[ClientConnection], None]) -> None:
+        """Hand every connection over, now or once it is idle."""
+        self.on_handover = on_handover
         for connection in list(self._connections):
-            connection.hand_on()
+            connection.hand_over()
 
     def finish(self, even_midway: bool) -> None:
-        """Close all connections once they have nothing open."""
-        self.give = None
+        """Close every connection once it has nothing open."""
+        self.on_handover = None
         for connection in list(self._connections):
             connection.finish(even_midway)
 
     def _sweep(self) -> None:
-        self._timer = self.loop.call_later(SWEEP_S, self._sweep)
+        self._timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.loop.time()
         for connection in list(self._connections):
-            connection.check(now)
+            connection.enforce_timeouts(now)
 
     def close(self) -> None:
-        """Break all connections."""
+        """Close the listener, and abort all connections."""
         self._timer.cancel()
         if self._paused_timer is not None:
             self._paused_timer.cancel()
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -206,7 +206,7 @@
             await asyncio.sleep(ACCEPT_S)
             await news()
             if succession is None:  # else the platform's socket goes on listening, and they wait there
-                while self.clients.accept_rest() and self._loop.time() < begun + MIDWAY_S:
+                while self.clients.accept_pending() and self._loop.time() < begun + MIDWAY_S:
                     await asyncio.sleep(0)
                 await news()
             self.clients.stop_accepting()
@@ -214,11 +214,11 @@
         while self.clients.connected and self._loop.time() < begun + longest + KILL_SLACK_S:
             await asyncio.sleep(DRAIN_STEP_S)
             # Those that another process takes over are closed by nobody.
-            if self._loop.time() >= begun + MIDWAY_S and self.clients.give is None:
+            if self._loop.time() >= begun + MIDWAY_S and self.clients.on_handover is None:
                 await news()
                 self.clients.finish(even_midway=True)
                 # Guards the end against a client that goes on asking on a connection that it keeps busy.
-                self.clients.ending = self._loop.time() >= begun + MIDWAY_S + longest * SERVED_SHARE
+                self.clients.shutting_down = self._loop.time() >= begun + MIDWAY_S + longest * SERVED_SHARE
             if self._loop.time() >= begun + longest + ANSWER_SLACK_S:
                 # Danger: a client may wait for longer than its class does, and SIGKILL does not.
                 self.host.end_open()
--- a/pebblepass/daemon/succession.py
+++ b/pebblepass/daemon/succession.py
@@ -108,7 +108,7 @@
 
     def hand_on(self) -> None:
         """Give away what has nothing open, and keep few connections to servers."""
-        self._routed.clients.hand_on(self._give)
+        self._routed.clients.hand_over(self._give)
 
     def close_idle(self) -> None:
         """Nobody takes them over."""
@@ -117,8 +117,8 @@
     def held(self) -> tuple[int, int]:
         """Connections of clients, and as many to servers as there may be still."""
         pool = self._routed.pool
-        if self._routed.clients.give is not None:
-            self._routed.clients.hand_on(self._give)  # some had bytes to write when they were asked
+        if self._routed.clients.on_handover is not None:
+            self._routed.clients.hand_over(self._give)  # some had bytes to write when they were asked
         pool.limit = max(pool.busy, KEPT_FOR_SERVERS)
         return self._routed.clients.connected, pool.limit
 
@@ -126,7 +126,7 @@
         """Hold so many; two processes have half of the memory for long commands each."""
         routed = self._routed
         if alone:
-            routed.clients.give = None
+            routed.clients.on_handover = None
         routed.clients.limit, routed.pool.limit = clients, servers
         routed.clients.budget.resize(routed.budget if alone else routed.budget // 2)
 
@@ -158,9 +158,9 @@
         def done(sent: bool) -> None:
             for connection in connections:
                 if sent:
-                    connection.left()
+                    connection.complete_handover()
                 else:
-                    connection.taken_back()
+                    connection.cancel_handover()
 
         if connections:
-            self._handover.give(fds, [held.handed() for held in connections], done)
+            self._handover.give(fds, [held.handover_state() for held in connections], done)
--- a/tests/daemon/test_clients.py
+++ b/tests/daemon/test_clients.py
@@ -6,14 +6,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from pebblepass.daemon.clients import COMMAND_S, IDLE_S, SWEEP_S, ClientServer, Reply
+from pebblepass.daemon.clients import COMMAND_TIMEOUT_S, IDLE_TIMEOUT_S, SWEEP_INTERVAL_S, ClientServer, Reply
 from pebblepass.wire.resp import Command
 from tests.sockets import PATIENCE_S, bulk, get, put
 
 MEMORY = 8 << 20
 
 
-class NoNews:
+class NeverPolled:
     sockets_polled_at = float("-inf")
 
 
@@ -21,7 +21,7 @@
     """Answers each request with its id, or holds it."""
 
     ready = True
-    lag = NoNews()
+    lag = NeverPolled()
 
     def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
         pass
@@ -107,7 +107,7 @@
         stand.host.held[0].send(b"+served\r\n")
         assert await asyncio.wait_for(waiting_reader.readline(), PATIENCE_S) == b"+served\r\n"
 
-    assert IDLE_S + SWEEP_S < 3.0  # DAYS
+    assert IDLE_TIMEOUT_S + SWEEP_INTERVAL_S < 3.0  # DAYS
     with_clients(test)
 
 
@@ -125,7 +125,7 @@
         assert answer.done()
         assert (await answer).startswith(b"-ERR")
 
-    assert COMMAND_S + SWEEP_S < 3.0  # DAYS
+    assert COMMAND_TIMEOUT_S + SWEEP_INTERVAL_S < 3.0  # DAYS
     with_clients(test)
 
 
--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -24,7 +24,7 @@
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.standins.ports import take_port
 from pebblepass.wire.resp import Command
-from tests.daemon.test_clients import NoNews, until
+from tests.daemon.test_clients import NeverPolled, until
 from tests.daemon.test_operations import figures
 from tests.sockets import (
     FACTS,
@@ -237,7 +237,7 @@
     """Answers each request with 8 KiB."""
 
     ready = True
-    lag = NoNews()
+    lag = NeverPolled()
     asked = answered = 0
 
     def request_arrived(self, command: Command, reply: Reply) -> None:
@@ -295,7 +295,7 @@
             crowd.append(client)
         before, most, more = sockets_held(), 0, True
         while more:
-            more = server.accept_rest()
+            more = server.accept_pending()
             most = max(most, sockets_held() - before)
             await asyncio.sleep(0)
         assert most <= 10 + NEWCOMERS
@@ -315,7 +315,7 @@
             os.close(free)
             resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
             try:
-                assert not server.accept_rest()
+                assert not server.accept_pending()
             finally:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
             await until(lambda: host.answered, "who waited is served once there is one")
--- a/tests/daemon/test_ends.py
+++ b/tests/daemon/test_ends.py
@@ -11,7 +11,7 @@
 import pytest
 
 from pebblepass.daemon import attempts, clients
-from pebblepass.daemon.clients import IDLE_S, MAX_PIPELINE, SWEEP_S
+from pebblepass.daemon.clients import IDLE_TIMEOUT_S, MAX_PIPELINE, SWEEP_INTERVAL_S
 from pebblepass.daemon.daemon import ACCEPT_S, ANSWER_SLACK_S, KILL_SLACK_S, MIDWAY_S
 from pebblepass.rehearsal.clock import CountedSocket
 from tests.crossings import ADDRESS, LONG_DIALS, Bed, ClientLine, PeerLine, asked, crossing
@@ -153,17 +153,17 @@
         cache.came = cache.serve
         client.ask("r1")
         await bed.settle()
-        given: list[Any] = []
-        clients.hand_on(given.append)
-        assert len(given) == 1
+        handed_over: list[Any] = []
+        clients.hand_over(handed_over.append)
+        assert len(handed_over) == 1
         client.ask("r2")
         if reset:
             client.transport.abort()
         else:
             client.transport.close()
         await bed.wait(LEFT_S)
-        clients.give = None
-        given[0].taken_back()
+        clients.on_handover = None
+        handed_over[0].cancel_handover()
         await bed.wait(LEFT_S)
         assert cache.names == ["r1"]
         assert clients.connected == 0
@@ -210,8 +210,8 @@
         for i in range(200):
             line = await bed.client()
             line.ask(f"first{i}", key=f"k{i}")
-            senders.append(Sender(bed, line, f"r{i}", began + IDLE_S + i * SWEEP_S / 100))
-        await bed.wait(IDLE_S + 4 * SWEEP_S)
+            senders.append(Sender(bed, line, f"r{i}", began + IDLE_TIMEOUT_S + i * SWEEP_INTERVAL_S / 100))
+        await bed.wait(IDLE_TIMEOUT_S + 4 * SWEEP_INTERVAL_S)
         taken = [sender for sender in senders if sender.taken]
         assert 0 < len(taken) < len(senders)
         assert [sender.name for sender in taken if len(sender.line.answers()) != 2] == []
@@ -461,10 +461,12 @@
 def test_the_storm_catches_a_router_that_sends_for_who_has_left(broken: str) -> None:
     with ExitStack() as stack:
         # Each of these is held up a second time: an attempt that begins looks for its client itself.
-        stack.enter_context(patch.object(clients.ClientConnection, "client_there", lambda self: True))
+        stack.enter_context(patch.object(clients.ClientConnection, "is_alive", lambda self: True))
         if broken == "waits":
             stack.enter_context(patch.object(attempts.Attempt, "wanted", True))
             stack.enter_context(patch.object(attempts.OpenRequest, "withdraw", lambda self: None))
         else:
-            stack.enter_context(patch.object(clients.ClientConnection, "client_has_left", lambda self: False))
+            stack.enter_context(
+                patch.object(clients.ClientConnection, "client_has_disconnected", lambda self: False)
+            )
         assert any(storm(seed)[0] for seed in range(6))
--- a/tests/daemon/test_gone.py
+++ b/tests/daemon/test_gone.py
@@ -457,13 +457,13 @@
         cache.came = cache.serve
         line = await bed.client()
         looked = []
-        whole = ClientConnection.client_has_left
+        whole = ClientConnection.client_has_disconnected
 
         def look(self: ClientConnection) -> bool:
             looked.append(bed.loop.time())
             return whole(self)
 
-        with patch.object(ClientConnection, "client_has_left", look):
+        with patch.object(ClientConnection, "client_has_disconnected", look):
             for number in range(200):
                 line.ask(f"r{number}", key=f"k{number}")
                 await bed.wait(0.015)
@@ -482,13 +482,13 @@
         cache.came = cache.serve
         line = await bed.client()
         looked = []
-        whole = ClientConnection.client_has_left
+        whole = ClientConnection.client_has_disconnected
 
         def look(self: ClientConnection) -> bool:
             looked.append(bed.loop.time())
             return whole(self)
 
-        with patch.object(ClientConnection, "client_has_left", look):
+        with patch.object(ClientConnection, "client_has_disconnected", look):
             for number in range(1000):
                 line.ask(f"r{number}", key=f"k{number}")
                 await bed.wait(0.001)
--- a/tests/daemon/test_orders.py
+++ b/tests/daemon/test_orders.py
@@ -333,7 +333,7 @@
 
     with (
         patch.object(clients.ClientConnection, "has_unread", lambda self: False),
-        patch.object(clients.ClientServer, "accept_rest", lambda self: None),
+        patch.object(clients.ClientServer, "accept_pending", lambda self: None),
         patch.object(daemon, "news", no_news),
     ):
         yield
@@ -376,7 +376,7 @@
 @contextmanager
 def looks_only_by_the_timer() -> Iterator[None]:
     """An attempt begins whenever its client was heard last."""
-    with patch.object(clients.ClientConnection, "client_there", lambda self: not self.closed):
+    with patch.object(clients.ClientConnection, "is_alive", lambda self: not self.closed):
         yield
 
 
