Name the daemon's reads of many keys in the field's terms

The modules of pebblepass/daemon/many_keys/ spoke of parts, suspects, looks and keys that are light, which needs explaining to a newcomer.

Names, docstrings and comments only: with identifiers blanked and docstrings left out, three modules have the same syntax tree as before; in entries the slots' names are sorted anew, as one of them was renamed.

--- a/pebblepass/daemon/many_keys/entries.py
+++ b/pebblepass/daemon/many_keys/entries.py
@@ -14,7 +14,7 @@
 
 
 class KeyReply:
-    """Stands where a client's reply does, for one key of a command."""
+    """The reply of one key: it has a client reply's interface, and passes the answer to the command."""
 
     __slots__ = ("_held", "_number", "_read", "request", "source")
 
@@ -26,11 +26,11 @@
 
     @property
     def unread_ns(self) -> int:
-        """Nothing: its command's deadline is the key's."""
+        """Always 0: the command's deadline already accounts for the time unread."""
         return 0
 
     def send(self, data: bytes) -> None:
-        """Give the key's entry, or the end of its long value."""
+        """Deliver the key's entry, or the last chunk of its streamed value."""
         read = self._read
         if self.source is None:
             read.ended(self._number, data)
@@ -40,7 +40,7 @@
             read.stream_ended(self._number)
 
     def start(self, data: bytes, source: ValueSource) -> None:
-        """Announce a long value: it waits for its turn."""
+        """Begin a streamed value, paused until the entries ahead of it are written."""
         self.source = source
         self._read.gathering.stream(self._number)
         self.write(data)
@@ -49,7 +49,7 @@
         self._read.reads.schedule(self._read)
 
     def write(self, data: bytes) -> bool:
-        """Write a part of a long value, or hold it until its turn."""
+        """Write a chunk of a streamed value, or buffer it; return whether it was written."""
         if self._read.gathering.passes(self._number):
             self._read.reply.write(data)
             return True
@@ -57,8 +57,8 @@
         self._read.gathering.hold(len(data))
         return False
 
-    def its_turn(self) -> None:
-        """The entries ahead have been written."""
+    def release(self) -> None:
+        """Write what is buffered: the entries ahead have been written."""
         for data in self._held:
             self._read.gathering.hold(-len(data))
             self._read.reply.write(data)
@@ -67,7 +67,7 @@
             self.source.resume()
 
     def cut_off(self) -> None:
-        """The long value ended too early."""
+        """Discard what is buffered: the streamed value ended too early."""
         self.source = None
         for data in self._held:
             self._read.gathering.hold(-len(data))
@@ -75,16 +75,16 @@
         self._read.stream_broke(self._number)
 
     def forgotten(self) -> None:
-        """Nothing is set aside for a single key's words."""
+        """Do nothing: no memory is reserved for a single key's words."""
 
     def awaited(self) -> bool:
-        """Whether its command's client is there."""
+        """Return whether the command's client is still connected."""
         return self._read.reply.awaited()
 
     def abandoned(self) -> None:
-        """Its client has gone: the rest of the command goes with its connection."""
+        """End this key: the client has disconnected. Its connection closes the rest of the command."""
         read = self._read
-        read.let_go.add(self._number)
+        read.abandoned.add(self._number)
         if read.gathering.state(self._number) is State.ASKED:
             read.ended(self._number, b"")
 
@@ -95,18 +95,19 @@
 
 
 class KeyAttempt:
-    """A key on its way: what a hit needs, and no more. An attempt is made for whatever else becomes of it.
+    """The minimal state of a key that is in flight: enough for a hit. Any other outcome creates an attempt.
 
-    Nearly all keys are hits of sound servers; a request and an attempt for each would cost as much as a read.
+    Nearly all keys are hits of healthy servers; a request and an attempt for each would cost as much as a
+    single read.
     """
 
-    __slots__ = ("attempt", "number", "part", "read", "request_id", "server")
+    __slots__ = ("attempt", "batch", "number", "read", "request_id", "server")
 
     def __init__(self, read: ManyRead, number: int, request_id: str, attempt: Attempt | None = None) -> None:
         self.read, self.number, self.request_id = read, number, request_id
         self.server = ""
-        """Where the module wants it to be sent; empty: it has not said, or its request is open."""
-        self.part: PartExchange | None = None
+        """The server that the decision module has chosen; empty: not chosen yet, or the request is open."""
+        self.batch: PartExchange | None = None
         self.attempt = attempt
 
     @property
@@ -119,14 +120,14 @@
         """Whether a long value of it is under way."""
         return self.attempt is not None and self.attempt.streaming
 
-    def begin(self, part: PartExchange) -> None:
-        """It leaves now, in this part."""
-        self.part = part
+    def begin(self, batch: PartExchange) -> None:
+        """Mark the key as sent in this batch."""
+        self.batch = batch
         if self.attempt is not None:
-            self.attempt.begin(part)
+            self.attempt.begin(batch)
 
-    def made(self) -> Attempt:
-        """Its attempt, made if need be: from here on it is one like any other."""
+    def ensure_attempt(self) -> Attempt:
+        """Return the key's attempt, and create it, with its request, if there is none yet."""
         if self.attempt is None:
             self.read.reads.open(self)
         assert self.attempt is not None
--- a/pebblepass/daemon/many_keys/reading.py
+++ b/pebblepass/daemon/many_keys/reading.py
@@ -20,7 +20,7 @@
 
 
 class ManyRead:
-    """One command under way. As the source of its reply it is paused while its client takes nothing."""
+    """One command in progress: the source of its reply, paused while the client does not read."""
 
     def __init__(self, reads: ManyReads, command: ManyKeys, reply: Reply, now: int) -> None:
         self.reads, self.command, self.reply = reads, command, reply
@@ -29,17 +29,17 @@
         self.deadline = now - reply.unread_ns + command.timeout_ms * NS_PER_MS
         self.paused = False
         self.over = False
-        """Its client has left, or its answer is written."""
+        """Whether the client has disconnected, or the answer is written."""
         self.streams: dict[int, KeyReply] = {}
         self.exchanges: dict[PartExchange, None] = {}
         self._advertised_ms, self._info = -1, b""
-        self.light: dict[str, KeyAttempt] = {}
-        """Keys that the module has been told of and that have no open request, by their request's id."""
-        self.let_go: set[int] = set()
-        """Numbers that were let go by themselves, as their client was found to have gone."""
-        self.suspects: set[int] = set()
-        """Numbers on which a part has broken: from then on they travel alone."""
-        due = max(self.deadline - reads.margin, now)
+        self.unopened: dict[str, KeyAttempt] = {}
+        """Keys that the decision module knows and that have no open request yet, by request id."""
+        self.abandoned: set[int] = set()
+        """Numbers of keys that were ended one by one, because the client was found disconnected."""
+        self.quarantined: set[int] = set()
+        """Numbers of keys that have blocked or failed a batch: they are sent alone from then on."""
+        due = max(self.deadline - reads.deadline_margin, now)
         self.timer: Deadline = reads.host.call_at(due, lambda: after_news(reads.loop, self.time_up))
 
     def info_to_send(self, now: int) -> bytes:
@@ -53,15 +53,15 @@
         return self._info
 
     def request_id(self, number: int) -> str:
-        """The id of one key's request."""
+        """Return the id of one key's request."""
         return f"{self.name}.{number}"
 
     def open_ids(self) -> list[str]:
-        """The ids of the keys that are owed their end."""
+        """Return the request ids of the keys that have not ended."""
         return [self.request_id(number) for number in self.gathering.unended()]
 
     def pause(self) -> None:
-        """Its client can't take more: nothing more is asked for it, or read for it."""
+        """Stop requesting and reading: the client's connection takes no more."""
         self.paused = True
         if self.reply.in_turn:  # else it waits for the answers ahead, and its keys may be asked meanwhile
             self.reads.shares.stalls(self.gathering, self.reads.host.now())
@@ -70,7 +70,7 @@
                 reply.source.pause()
 
     def resume(self) -> None:
-        """Its client takes again, or its turn on the connection has come."""
+        """Continue: the client reads again, or the answers ahead on its connection are written."""
         self.paused = False
         self.reads.shares.reads(self.gathering)
         for number, reply in self.streams.items():
@@ -79,13 +79,13 @@
         self.reads.schedule(self)
 
     def ended(self, number: int, entry: bytes) -> None:
-        """A key has its final answer."""
+        """Record a key's final answer."""
         if not self.over:
             self.gathering.end(number, entry)
             self.reads.schedule(self)
 
     def stream_ended(self, number: int) -> None:
-        """A long value is whole."""
+        """Record that a streamed value is complete."""
         self.streams.pop(number, None)
         if self.over:
             return
@@ -93,7 +93,7 @@
         self.reads.schedule(self)
 
     def stream_broke(self, number: int) -> None:
-        """A long value broke off: before its turn it has failed alone, else the client must see it."""
+        """Handle a truncated value: fail the key if none of it is written yet, else cut the client off."""
         self.streams.pop(number, None)
         if self.over or self.gathering.state(number) is State.ENDED:
             return
@@ -105,7 +105,7 @@
         self.reply.cut_off()
 
     def write(self) -> None:
-        """Write what is due; the answer is over with its last entry."""
+        """Write the entries that are due; finish the answer after the last one."""
         gathering, reply = self.gathering, self.reply
         while not self.paused and not self.over:
             due = gathering.due()
@@ -116,17 +116,17 @@
                 break
             stream = self.streams.get(number)
             if stream is not None:
-                stream.its_turn()
+                stream.release()
         if gathering.written and not self.over:
             self.reads.forget(self)
             reply.send(b"")
 
     def time_up(self) -> None:
-        """What is not answered is late; nothing more is sent for it."""
+        """End the unanswered keys at the deadline, and cancel what is not sent yet."""
         if self.over:
             return
         reads, gathering = self.reads, self.gathering
         for number in gathering.time_up():
-            reads.give_up(self, number, "time")
+            reads.end_unanswered(self, number, "time")
         reads.drop(self)
         reads.schedule(self)
--- a/pebblepass/daemon/many_keys/reads.py
+++ b/pebblepass/daemon/many_keys/reads.py
@@ -31,9 +31,9 @@
     from pebblepass.operator import ManyKeysSection
 
 PATH = "RESP2 client, many keys"
-RETRY_S = 0.01
-TURNS = 12  # in which keys are dealt before short parts leave too
-TURN_PARTS = 8  # that leave in one turn
+STARVED_RETRY_S = 0.01
+TURNS_BEFORE_SHORT_BATCHES = 12  # with keys requested, after which batches that are not full are sent too
+MAX_BATCHES_PER_TURN = 8
 MEMORY_SHARE = 0.25  # of the router's memory at most, for what is gathered
 
 log = logging.getLogger("pebblepass")
@@ -45,7 +45,7 @@
 
 
 class ManyReads:
-    """All commands under way in one router."""
+    """All commands in progress in one router."""
 
     def __init__(
         self,
@@ -76,24 +76,24 @@
             words=section.part_kib << 10,
             side_by_side=section.parts_of_server,
         )
-        self.parts: Parts[KeyAttempt] = Parts(bounds, min(cls.aim for cls in settings.classes))
+        self.batches: Parts[KeyAttempt] = Parts(bounds, min(cls.aim for cls in settings.classes))
         self.hedges = HedgeBudget(section.hedge_share)
-        self.margin = section.margin_ms * NS_PER_MS
+        self.deadline_margin = section.margin_ms * NS_PER_MS
         self._kinds = frozenset(section.node_kinds)
         self._safe = {cls.name for cls in settings.classes if cls.effect is Effect.SAFE}
         self._reads: dict[str, ManyRead] = {}
         self._changed: dict[ManyRead, None] = {}
-        self._of: dict[Gathering, ManyRead] = {}
+        self._read_by_gathering: dict[Gathering, ManyRead] = {}
         self.light = 0
-        """Keys that the module has been told of and that have no open request."""
+        """The number of keys that the decision module knows and that have no open request yet."""
         self._scheduled = False
-        self._turns = 0  # in a row in which keys were dealt
+        self._consecutive_deals = 0  # turns in a row in which keys were requested
         self._retry: asyncio.TimerHandle | None = None
 
     # Clients
 
     def arrived(self, words: list[bytes], reply: Reply, refusing: bool) -> None:
-        """Take a command whole, or answer it with one line."""
+        """Accept a command, or answer it with one error line."""
         host = self.host
         try:
             command = parse_many(words)
@@ -109,29 +109,29 @@
             return
         read = ManyRead(self, command, reply, host.now())
         if refusing:
-            self._turn_away(read, b"-BUSY\r\n", refused="connections")
+            self._reject(read, b"-BUSY\r\n", refused="connections")
         elif read.name in self._reads or host.knows_key_of(read.name):
-            # Danger: two requests under one id would share attempts, and one would have the other's answer.
-            self._turn_away(read, b"-ERR duplicate id\r\n", failed="duplicate id")
+            # Two requests under one id would share attempts, and one would get the other's answer.
+            self._reject(read, b"-ERR duplicate id\r\n", failed="duplicate id")
         elif not self.shares.join(read.gathering):
-            self._turn_away(read, b"-BUSY\r\n", refused="commands of many keys")
+            self._reject(read, b"-BUSY\r\n", refused="commands of many keys")
         else:
-            self._take(read)
+            self._accept(read)
 
     def _answer(self, reply: Reply, line: bytes) -> None:
         reply.send(line)
         reply.forgotten()
 
-    def _turn_away(self, read: ManyRead, line: bytes, refused: str = "", failed: str = "") -> None:
+    def _reject(self, read: ManyRead, line: bytes, refused: str = "", failed: str = "") -> None:
         read.over = True
         read.timer.cancel()
         self._answer(read.reply, line)
         for number, key in enumerate(read.gathering.keys):
             self.host.turned_away(read.command.read(number, key), refused, failed)
 
-    def _take(self, read: ManyRead) -> None:
+    def _accept(self, read: ManyRead) -> None:
         host, command, now = self.host, read.command, self.host.now()
-        self._reads[read.name] = self._of[read.gathering] = read
+        self._reads[read.name] = self._read_by_gathering[read.gathering] = read
         if host.ledger is not None:
             cls, tenant = command.fields["c"], command.fields.get("t")
             for number, key in enumerate(read.gathering.keys):
@@ -143,55 +143,55 @@
         self.schedule(read)
 
     def owns(self, request_id: str) -> bool:
-        """Whether this is the id of a key of a command under way."""
+        """Return whether this is the request id of a key of a command in progress."""
         name, _, number = request_id.rpartition(".")
         return name in self._reads and number.isdigit()
 
     def open_ids(self) -> list[str]:
-        """The ids of all keys that are owed their end."""
+        """Return the request ids of all keys that have not ended."""
         return [name for read in self._reads.values() for name in read.open_ids()]
 
     def client_gone(self, read: ManyRead) -> None:
-        """The client has left."""
+        """Close a command whose client has disconnected."""
         self.close(read, "")
 
     def close(self, read: ManyRead, failed: str) -> None:
-        """Nothing is owed any more; each key that has not ended is gone, or has failed for this reason."""
+        """End a command early: its unfinished keys fail for this reason, or are abandoned if it is empty."""
         if read.over:
             return
         read.over = True
         for number in list(read.gathering.unended()):
-            self.give_up(read, number, failed)
+            self.end_unanswered(read, number, failed)
         self.drop(read)
         self.forget(read)
 
-    def give_up(self, read: ManyRead, number: int, failed: str) -> None:
-        """End one key without an answer of the module's."""
-        if number in read.let_go:
+    def end_unanswered(self, read: ManyRead, number: int, failed: str) -> None:
+        """End one key without an answer from the decision module."""
+        if number in read.abandoned:
             return
         host, request_id = self.host, read.request_id(number)
         request = host.request(request_id)
         if request is not None:
             host.let_go(request, failed)
-        elif host.ledger is not None:  # it was never asked
+        elif host.ledger is not None:  # it was never requested
             if failed:
                 host.ledger.fail(request_id, host.now(), failed)
             else:
                 host.ledger.leave(request_id, host.now())
 
     def drop(self, read: ManyRead) -> None:
-        """What waits to be sent for a command is not sent."""
-        for key in self.parts.drop(read):
-            key.made().end(Outcome.MOOT)
+        """Cancel a command's queued keys, and withdraw its batches."""
+        for key in self.batches.drop(read):
+            key.ensure_attempt().end(Outcome.MOOT)
         for exchange in list(read.exchanges):
             exchange.withdraw()
 
     def forget(self, read: ManyRead) -> None:
-        """A command is over."""
+        """Remove a command that is finished."""
         read.over = True
         read.timer.cancel()
         self._reads.pop(read.name, None)
-        self._of.pop(read.gathering, None)
+        self._read_by_gathering.pop(read.gathering, None)
         self._changed.pop(read, None)
         self.shares.leave(read.gathering)
         self.schedule()
@@ -199,7 +199,7 @@
     # Turns
 
     def schedule(self, read: ManyRead | None = None) -> None:
-        """Something has changed: deal, cut parts and write in a turn of their own, soon."""
+        """Run a turn soon: it writes answers, requests keys and sends batches. `read`: it has changed."""
         if read is not None:
             self._changed[read] = None
         if not self._scheduled:
@@ -212,72 +212,72 @@
         for read in changed:
             read.write()
         dealt = self.shares.deal(self.host.room)
-        self._turns = self._turns + 1 if dealt is not None else 0
+        self._consecutive_deals = self._consecutive_deals + 1 if dealt is not None else 0
         if dealt is not None:
             gathering, numbers = dealt
-            self._ask(self._of[gathering], numbers)
-            # One chunk a turn: single requests have their turns in between.
+            self._request_keys(self._read_by_gathering[gathering], numbers)
+            # One chunk a turn: single requests are served in between.
             self.schedule()
         elif self.shares.starved() and self._retry is None:
-            # Nothing of ours is out whose end would lead here again: single requests take all the room.
-            self._retry = self.loop.call_later(RETRY_S, self._try_again)
-        # Parts wait for as many keys as come at once: a short part costs its server and this router as much.
-        self._send_parts(full_only=self._turns % TURNS != 0)
+            # No key is in flight whose end would schedule a turn: single requests occupy all the capacity.
+            self._retry = self.loop.call_later(STARVED_RETRY_S, self._retry_starved)
+        # Batches wait to fill up: a short one costs its server and this router as much as a full one.
+        self._send_batches(full_only=self._consecutive_deals % TURNS_BEFORE_SHORT_BATCHES != 0)
 
-    def _try_again(self) -> None:
+    def _retry_starved(self) -> None:
         self._retry = None
         stalled = self.shares.to_shed(self.host.now())
         if stalled is not None:
             log.warning("a client takes nothing of its answer, and others wait for the memory")
-            self._of[stalled].reply.cut_off()
+            self._read_by_gathering[stalled].reply.cut_off()
         self.schedule()
 
-    def _ask(self, read: ManyRead, numbers: list[int]) -> None:
+    def _request_keys(self, read: ManyRead, numbers: list[int]) -> None:
         if read.over:
             return
         fields, keys, name = read.command.fields, read.gathering.keys, read.name
         asked = [KeyAttempt(read, number, f"{name}.{number}") for number in numbers]
         names = [key.request_id for key in asked]
-        read.light.update(zip(names, asked, strict=True))
+        read.unopened.update(zip(names, asked, strict=True))
         self.light += len(asked)
         texts = [keys[number].decode() for number in numbers]
         tenant = fields.get("t")
         self.host.tell(KeysArrived(names, texts, fields["c"], read.deadline, tenant, name))
 
     def opened(self, request_id: str) -> OpenRequest | None:
-        """The open request of a key that had none until now; None: there is no such key."""
+        """Open the request of a key that had none until now; None: there is no such key."""
         read = self._reads.get(request_id.rpartition(".")[0])
-        key = read.light.get(request_id) if read is not None else None
+        key = read.unopened.get(request_id) if read is not None else None
         return None if key is None else self.open(key)
 
     def open(self, key: KeyAttempt) -> OpenRequest:
-        """Make a key's request an open one, and what was sent for it an attempt."""
+        """Open a key's request, and create the attempt for what was already sent."""
         read, number = key.read, key.number
-        del read.light[key.request_id]
+        del read.unopened[key.request_id]
         self.light -= 1
         command = read.command.read(number, read.gathering.keys[number])
         request = OpenRequest(key.request_id, command, KeyReply(read, number), read.deadline, of_command=True)
         self.host.enter(request)
         if key.server:
             key.attempt = self.host.attempt(request, key.server)
-            if key.part is not None:
-                key.attempt.begin(key.part)
+            if key.batch is not None:
+                key.attempt.begin(key.batch)
         return request
 
     def offer_keys(self, action: SendKeys) -> None:
-        """The module has chosen a server for keys that it was just told of."""
+        """Queue keys for the server that the decision module has chosen for them."""
         read, server = self._reads[action.command], action.server
-        words, light, timeout = read.gathering.keys, read.light, action.timeout
+        words, unopened, timeout = read.gathering.keys, read.unopened, action.timeout
         offered: list[Queued[KeyAttempt]] = []
         for request_id in action.requests:
-            key = light[request_id]
+            key = unopened[request_id]
             key.server, number = server, key.number
             offered.append((False, number, key, len(words[number]) + 1, timeout))
-        self.parts.offer_all(server, read, offered)
+        self.batches.offer_all(server, read, offered)
         self.schedule()
 
     def offer(self, attempt: Attempt, server: str, timeout: int) -> None:
-        """The module has chosen a server for a key that is asked once more, or by itself."""
+        """Queue one key for its chosen server: a retry, a hedge, or a key that is sent by itself."""
         command = attempt.command
         read = self._reads.get(attempt.request_id.rpartition(".")[0])
         if read is None:
@@ -285,41 +285,43 @@
             return
         number = key_number(command)
         key = KeyAttempt(read, number, attempt.request_id, attempt)
-        self.parts.offer(server, read, key, number, len(command.key) + 1, timeout, number in read.suspects)
+        self.batches.offer(
+            server, read, key, number, len(command.key) + 1, timeout, number in read.quarantined
+        )
         self.schedule()
 
-    def _send_parts(self, full_only: bool) -> None:
-        for key in self.parts.blocked():
-            attempt = key.made()
-            attempt.spare(always=True)  # never sent: it says nothing
+    def _send_batches(self, full_only: bool) -> None:
+        for key in self.batches.blocked():
+            attempt = key.ensure_attempt()
+            attempt.spare(always=True)  # it was never sent: exclude it from the server's health statistics
             attempt.end(Outcome.MOOT)
-        parts = self.parts.due(self.host.now(), self._speaks, full_only, TURN_PARTS)
-        if len(parts) == TURN_PARTS:
+        batches = self.batches.due(self.host.now(), self._supports_batches, full_only, MAX_BATCHES_PER_TURN)
+        if len(batches) == MAX_BATCHES_PER_TURN:
             self.schedule()
-        for part in parts:
-            self.hedges.attempted(len(part.items))
-            exchange = PartExchange(self, part)
-            self._pool.submit(part.server, exchange)
+        for batch in batches:
+            self.hedges.attempted(len(batch.items))
+            exchange = PartExchange(self, batch)
+            self._pool.submit(batch.server, exchange)
 
     # The list of servers
 
-    def _speaks(self, server: str) -> bool:
-        """Whether a server takes many keys in one command."""
+    def _supports_batches(self, server: str) -> bool:
+        """Return whether a server accepts many keys in one command."""
         return self.host.kinds.get(server) in self._kinds
 
     def left(self, server: str) -> None:
-        """A server drains or is gone: nothing that waits for it is sent there."""
-        for key in self.parts.server_left(server):
-            key.made().end(Outcome.CONNECT_FAILED)
+        """Fail the keys that are queued for a server that drains or has been removed."""
+        for key in self.batches.server_left(server):
+            key.ensure_attempt().end(Outcome.CONNECT_FAILED)
 
     def time_up(self) -> None:
-        """Give every command its answer now: what is not answered is late."""
+        """End every command now, as if its deadline had passed."""
         for read in list(self._reads.values()):
             read.time_up()
 
     def abandon(self) -> None:
-        """The router ends."""
+        """Open every pending key's request, and remove all commands: the router shuts down."""
         for read in list(self._reads.values()):
-            for key in list(read.light.values()):
+            for key in list(read.unopened.values()):
                 self.open(key)
             self.forget(read)
