Hold one poller for a pool's connections

Need: since the choice of a poller stands in one place, each connection to a server made a poll object that it did not use. Change: the pool holds the poller. Measured: tests of upstream, crossings, late connections, many keys, deadlines, gone: green.

--- a/pebblepass/daemon/upstream.py
+++ b/pebblepass/daemon/upstream.py
@@ -155,7 +155,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
         descriptor = self.transport.get_extra_info("socket").fileno()
-        self._look = socket_poller(self.server.pool.loop).read_poll(descriptor)
+        self._look = self.server.pool.poller.read_poll(descriptor)
 
     def pause_writing(self) -> None:
         """Note that the kernel has not taken every byte."""
@@ -337,6 +337,7 @@
         `gather`: bytes for long values that come without a length.
         """
         self.reports = reports
+        self.poller = socket_poller(loop)
         self.gathered = GatherBudget(gather, MAX_ANSWER)
         self.loop = loop
         self._limit, self._dial_timeout = limit, dial_timeout
