--- a/benchmarks/stand.py
+++ b/benchmarks/stand.py
@@ -322,8 +322,11 @@
         self.pipe.send("asked")
         return int(self.pipe.recv())
 
-    async def router(self, case: Case, operator: str = "") -> Process:
-        """Start the daemon against the case's nodes and the store, with this as its operator's file."""
+    async def router(self, case: Case, operator: str = "", checkout: Path = ROOT) -> Process:
+        """Start the daemon of a checkout against the case's nodes and the store.
+
+        `operator`: the text of its operator's file.
+        """
         places = [(f"s{number}", "std", port) for number, port in enumerate(self.ports[: case.nodes])]
         entries = [
             {
@@ -356,7 +359,7 @@
             file = config.with_suffix(".toml")
             file.write_text(operator)
             environ["PEBBLEPASS_OPERATOR"] = str(file)
-        started = subprocess.Popen([sys.executable, "-m", "pebblepass.daemon"], cwd=ROOT, env=environ)
+        started = subprocess.Popen([sys.executable, "-m", "pebblepass.daemon"], cwd=checkout, env=environ)
         return await self.pinned(started, port, agent)
 
     async def pinned(
