--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -97,7 +97,17 @@
 
 def test_a_start_loads_nothing_that_only_the_operators_file_asks_for() -> None:
     """Imports are most of a start's CPU, and on a part of a core that is the time until it is ready."""
-    beside = ("agreement", "figures", "handover", "manykeys", "operator", "peers", "standins", "rehearsal")
+    beside = (
+        "agreement",
+        "figures",
+        "handover",
+        "manykeys",
+        "daemon.many_keys",
+        "operator",
+        "peers",
+        "standins",
+        "rehearsal",
+    )
     libraries = ("click", "rich", "numpy", "matplotlib", "sqlite3", "hypothesis")
     listed = "import sys, pebblepass.daemon.__main__; print(*sys.modules)"
     told = subprocess.run(
