Count the time for which a connection waited to be accepted

Cause: idle clients fill the descriptors; each new connection has one evicted, and the loop accepts one connection an iteration. A request behind a crowd of them waits in the listener's queue, while the loop's beat says that all sockets have been looked at.

Change: BacklogAge bounds the wait by the last time at which the queue was seen empty; one poll of the listener a new connection.

Tests: tests/daemon/test_unread_age.py, three of the bound and one on the daemon's own loop, a crowd of 60 connections that cost 5 ms each; without the look behind it fails (0.0 s of at least 0.3).

--- a/pebblepass/daemon/clients.py
+++ b/pebblepass/daemon/clients.py
@@ -14,7 +14,7 @@
 from pebblepass.admission.descriptors import REFUSERS
 from pebblepass.admission.places import Standing, makes_room
 from pebblepass.daemon.unread import READ_EVENTS, accept_pending, peer_has_closed, socket_poller
-from pebblepass.daemon.unread_age import UnreadAge
+from pebblepass.daemon.unread_age import BacklogAge, UnreadAge
 from pebblepass.daemon.upstream import ValueSource
 from pebblepass.wire.address import Address
 from pebblepass.wire.resp import LARGE, MANY, Command, CommandReader, UnknownCommandError, parse_request
@@ -182,7 +182,7 @@
     """One client's connection: parses commands, orders replies, and detects the client's disconnect."""
 
     def __init__(
-        self, server: ClientServer, handed: Handed | None = None, empty_at: float | None = None
+        self, server: ClientServer, handed: Handed | None = None, empty_at: float = float("-inf")
     ) -> None:
         """`handed`: its state in the process that handed it over; `empty_at`: a time without unread bytes."""
         self.server = server
@@ -206,8 +206,7 @@
         self._confirmed_alive_at = float("-inf")
         self._last_read_at = float("inf")
         self._disconnect_detected = False
-        # A connection accepted just now has arrived since the listener was last polled.
-        self._unread_age = UnreadAge(server.lag.sockets_polled_at if empty_at is None else empty_at)
+        self._unread_age = UnreadAge(empty_at)
         self._reading_since = self.last_used_at
         self._unsent = 0  # size of the write buffer at the last sweep
         self.unread_ns = 0
@@ -617,6 +616,8 @@
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
+        self._listener_descriptor = -1
+        self._backlog_age = BacklogAge()
         self.on_handover: Callable[[ClientConnection], None] | None = None
         """Called with each idle connection while there is another process to hand it over to."""
         self.draining = False
@@ -667,11 +668,19 @@
     async def listen(self, at: Address | socket.socket) -> None:
         """Accept connections at this address, or on a socket that listens already."""
         self.draining = False
-        make = functools.partial(ClientConnection, self)
+        make = self._make_connection
         if isinstance(at, socket.socket):
             self._listener = await self.loop.create_server(make, sock=at, backlog=BACKLOG)
         else:
             self._listener = await self.loop.create_server(make, *at, backlog=BACKLOG)
+        self._listener_descriptor = self._listener.sockets[0].fileno()
+
+    def _make_connection(self) -> ClientConnection:
+        """Make the protocol of a connection that was accepted just now."""
+        pending = self.poll_socket(self._listener_descriptor, select.POLLIN) & select.POLLIN
+        now, polled_at = self.loop.time(), self.lag.sockets_polled_at
+        empty_at = self._backlog_age.accepted(now, polled_at, more_wait=bool(pending))
+        return ClientConnection(self, empty_at=empty_at)
 
     def register(self, connection: ClientConnection) -> None:
         """Register a new connection: at the limit one is evicted, or the new one is rejected."""
@@ -712,8 +721,8 @@
         return accept_pending(self.loop, self._listener, self._accept, 1 - len(self._tasks))
 
     def _accept(self, sock: socket.socket) -> None:
-        make = functools.partial(ClientConnection, self, None, self.lag.sockets_polled_at)
-        task = self.loop.create_task(self._adopt(sock, make))
+        connection = self._make_connection()
+        task = self.loop.create_task(self._adopt(sock, lambda: connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -728,7 +737,7 @@
         self.draining = True
         if self._listener is not None:
             self._listener.close()
-            self._listener = None
+            self._listener, self._listener_descriptor = None, -1
 
     def hand_over(self, on_handover: Callable[[ClientConnection], None]) -> None:
         """Hand every connection over, now or once it is idle."""
--- a/pebblepass/daemon/unread_age.py
+++ b/pebblepass/daemon/unread_age.py
@@ -34,3 +34,29 @@
         if size < SHORT_READ:
             self._empty_at = now
         return age if RECENT_S < age < float("inf") else 0.0
+
+
+class BacklogAge:
+    """Bounds how long connections may have waited to be accepted; times are seconds of one clock.
+
+    Loops accept one connection an iteration. While more of them wait, a look at the sockets tells nothing of
+    how long one has.
+    """
+
+    def __init__(self) -> None:
+        self._empty_at = float("-inf")
+        self._was_empty = True
+
+    def accepted(self, now: float, polled_at: float, more_wait: bool) -> float:
+        """Take note of a connection that is accepted now; returns a time at which it had not come yet.
+
+        `polled_at`: every socket that was readable then has been read from since. `more_wait`: whether there
+        are others behind it. Returns minus infinity where nothing is known.
+        """
+        if self._was_empty:
+            self._empty_at = max(self._empty_at, polled_at)
+        bound = self._empty_at
+        self._was_empty = not more_wait
+        if not more_wait:
+            self._empty_at = now
+        return bound
--- a/tests/daemon/test_unread_age.py
+++ b/tests/daemon/test_unread_age.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import math
+import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from pebblepass.daemon.clients import MAX_PIPELINE
-from pebblepass.daemon.unread_age import RECENT_S, SHORT_READ, UnreadAge
+from pebblepass.daemon.clients import MAX_PIPELINE, ClientConnection, ClientServer, Reply
+from pebblepass.daemon.lag import LoopLag
+from pebblepass.daemon.loop import DaemonLoop
+from pebblepass.daemon.unread_age import RECENT_S, SHORT_READ, BacklogAge, UnreadAge
 from pebblepass.handover.messages import Handed
+from pebblepass.wire.resp import Command
 from tests.crossings import ADDRESS, Advertised, Bed, asked, crossing
 from tests.daemon.test_deadline_propagation import advertised_to, advertised_too_much
 from tests.manykeys.site import Site, on_site
@@ -54,9 +59,81 @@
     assert UnreadAge(-math.inf).read(10.2, 100) == 0.0
 
 
+def test_a_connection_has_come_since_the_last_look_where_none_waited_before_it() -> None:
+    backlog = BacklogAge()
+    assert backlog.accepted(10.0, polled_at=9.98, more_wait=False) == 9.98
+    assert backlog.accepted(10.3, polled_at=10.29, more_wait=False) == 10.29
+
+
+def test_connections_that_wait_behind_others_may_be_as_old_as_the_first() -> None:
+    backlog = BacklogAge()
+    backlog.accepted(10.0, polled_at=9.98, more_wait=False)
+    assert backlog.accepted(11.0, polled_at=10.99, more_wait=True) == 10.99
+    assert backlog.accepted(11.2, polled_at=11.19, more_wait=True) == 10.99
+    assert backlog.accepted(11.4, polled_at=11.39, more_wait=False) == 10.99
+    assert backlog.accepted(11.5, polled_at=11.39, more_wait=False) == 11.4, "the backlog was empty then"
+
+
+def test_nothing_is_known_of_connections_older_than_the_process() -> None:
+    assert BacklogAge().accepted(10.0, polled_at=-math.inf, more_wait=True) == -math.inf
+
+
 # On sockets
 
 
+class RecordingHost:
+    """Notes for how long each request may have waited before it was read."""
+
+    ready = True
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.lag = LoopLag(loop, time.monotonic_ns, lambda lag: None)
+        self.unread_s: list[float] = []
+
+    def request_arrived(self, command: Command, reply: Reply) -> None:
+        self.unread_s.append(reply.unread_ns / 1e9)
+        reply.send(b"$1\r\nv\r\n")
+        reply.forgotten()
+
+    def client_gone(self, reply: Reply) -> None:
+        pass
+
+    def turned_away(self, command: Command, refused: str = "", failed: str = "") -> None:
+        raise AssertionError("there is room")
+
+
+def test_a_request_behind_a_crowd_of_new_connections_counts_from_when_it_came() -> None:
+    """Each new connection costs the loop work, and the kernel's queue of them is taken one by one."""
+    crowd, work_s = 60, 0.005
+
+    class BusyServer(ClientServer):
+        def register(self, connection: ClientConnection) -> None:
+            time.sleep(work_s)  # the work, not a wait
+            super().register(connection)
+
+    async def main(loop: DaemonLoop) -> float:
+        host = RecordingHost(loop)
+        server = BusyServer(loop, host, 2 * crowd, 8 << 20)
+        await server.listen((ADDRESS, 0))
+        assert server._listener is not None
+        address = server._listener.sockets[0].getsockname()
+        await asyncio.sleep(0.1)  # heartbeats have looked at the sockets
+        lines = [socket.create_connection(address) for _ in range(crowd + 1)]
+        lines[-1].sendall(asked("r"))
+        while not host.unread_s:
+            await asyncio.sleep(0.001)
+        for line in lines:
+            line.close()
+        server.close()
+        host.lag.close()
+        return host.unread_s[0]
+
+    with asyncio.Runner(loop_factory=DaemonLoop) as runner:
+        loop = runner.get_loop()
+        assert isinstance(loop, DaemonLoop)
+        assert runner.run(main(loop)) >= crowd * work_s
+
+
 async def open_connection(bed: Bed) -> None:
     client = await bed.client()
     await bed.wait(0.5)
