Pair a rehearsal's connections by their address, and close those of other programs

Cause: `CountedSocket.accept` paired whatever the kernel handed out with the oldest waiting connection, and `recv` took the end of the stranger's stream for progress (`while missing` with empty parts).

Change: a connection that waits to be accepted is known by its client's address; one with another address is closed, one that the kernel hands out early is kept for its turn.

The new tests on the old code: the two of strangers and the one of an early end don't end within 15 s (timeout of the run), the one of the order of acceptance fails after 10 s. On the new: test_clock.py and test_rehearsal.py 60 passed.

--- a/pebblepass/simulation/clock.py
+++ b/pebblepass/simulation/clock.py
@@ -14,13 +14,14 @@
 import asyncio
 import errno
 import ipaddress
+import os
 import select
 import selectors
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 START_S = 1000.0  # of the virtual clock; not 0, which the list of servers uses for a time long ago
 UNIX_START_NS = 1_700_000_000 * 10**9  # the virtual Unix time at the start
@@ -36,6 +37,10 @@
     """No socket is ready and no timer is set, so the run would never continue."""
 
 
+class DeliveryError(RuntimeError):
+    """The kernel did not deliver what was sent within this process; the message is one line."""
+
+
 class Direction:
     """One direction of a connection: the bytes written and not yet read, and how it was closed."""
 
@@ -53,6 +58,15 @@
         return WINDOW - self.bytes
 
 
+class PendingConnection(NamedTuple):
+    """A connection of this network that its listener has not accepted."""
+
+    client_address: Address
+    """The address of the end that has connected; identifies the connection in the kernel's backlog."""
+    from_client: Direction
+    to_client: Direction
+
+
 class CountedSocket(socket.socket):
     """A TCP socket that counts the bytes it sends and reads; created by `Network` only."""
 
@@ -60,8 +74,10 @@
     number: int
     incoming: Direction | None = None
     outgoing: Direction | None = None
-    pending: deque[tuple[Direction, Direction]] | None = None
-    """For a listener: the two directions of each connection that waits to be accepted."""
+    pending: deque[PendingConnection] | None = None
+    """For a listener: the connections that wait to be accepted."""
+    accepted_early: dict[Address, int] | None = None
+    """For a listener: descriptors that the kernel has accepted before their turn, by client address."""
     address: Address | None = None
 
     def connect(self, address: Any) -> None:
@@ -72,13 +88,31 @@
         """Accept the connection that has waited longest."""
         if not self.pending:
             raise BlockingIOError(errno.EAGAIN, "no connection is waiting")
-        self.network.wait_for_kernel(self, select.POLLIN)
-        fd, address = self._accept()  # type: ignore[attr-defined]
-        accepted = self.network.adopt(fd)
-        accepted.incoming, accepted.outgoing = self.pending.popleft()
+        connection = self.pending.popleft()
+        accepted = self.network.adopt(self._accept_from(connection.client_address))
+        accepted.incoming, accepted.outgoing = connection.from_client, connection.to_client
         accepted.incoming.reader = accepted.outgoing.writer = accepted
         self.network.touch(accepted)
-        return accepted, address
+        return accepted, connection.client_address
+
+    def _accept_from(self, client_address: Address) -> int:
+        """Return the descriptor of the connection from this address; close those of other processes."""
+        assert self.pending is not None
+        assert self.accepted_early is not None
+        while client_address not in self.accepted_early:
+            self.network.wait_for_kernel(self, select.POLLIN)
+            try:
+                fd, address = self._accept()  # type: ignore[attr-defined]
+            except (BlockingIOError, ConnectionAbortedError):
+                continue  # the connection of another process was reset before it was accepted
+            waiting = [client_address, *(connection.client_address for connection in self.pending)]
+            if address in waiting:
+                self.accepted_early[address] = fd
+            else:
+                # Warning: a health check or a port scan of another process may connect too. Paired with a
+                # connection of this network, it would never deliver the counted bytes.
+                os.close(fd)
+        return self.accepted_early.pop(client_address)
 
     def send(self, data: Any, flags: int = 0) -> int:
         """Send as much as the window has room for."""
@@ -123,6 +157,8 @@
         while missing:
             self.network.wait_for_kernel(self, select.POLLIN)
             part = super().recv(missing, flags)
+            if not part:
+                raise self.network.fail(f"a connection ended {missing} bytes early")
             parts.append(part)
             missing -= len(part)
         direction.bytes -= wanted
@@ -188,6 +224,8 @@
         """Sockets, by number, that may have become ready since they were last found not ready."""
         self.silent: set[Address] = set()
         """Addresses of unreachable machines: connections to them are never established."""
+        self.failure: DeliveryError | None = None
+        """Why the run can't continue. Raised by the loop: transports handle the errors of their sockets."""
         self._numbers = 0
         self._reserved: dict[Address, socket.socket] = {}
 
@@ -215,7 +253,7 @@
         except OSError:
             created.close()
             raise
-        created.pending = deque()
+        created.pending, created.accepted_early = deque(), {}
         created.address = (host, created.getsockname()[1])
         self.listeners[created.address] = created
         return created
@@ -252,7 +290,7 @@
         outgoing, incoming = Direction(), Direction()
         client.outgoing, client.incoming = outgoing, incoming
         outgoing.writer = incoming.reader = client
-        listener.pending.append((outgoing, incoming))
+        listener.pending.append(PendingConnection(client.getsockname(), outgoing, incoming))
         self.touch(listener)
 
     def wait_for_kernel(self, sock: CountedSocket, events: int) -> None:
@@ -260,7 +298,12 @@
         poll = select.poll()
         poll.register(sock.fileno(), events)
         if not poll.poll(ARRIVAL_MS):
-            raise RuntimeError("the kernel has not delivered what was sent on loopback")
+            raise self.fail("the kernel has not delivered what was sent on loopback")
+
+    def fail(self, reason: str) -> DeliveryError:
+        """Make the loop raise an error in its next iteration; return it, to be raised by the caller too."""
+        self.failure = self.failure or DeliveryError(reason)
+        return self.failure
 
     def touch(self, sock: CountedSocket) -> None:
         """Check the readiness of this socket in the next iteration of the loop."""
@@ -272,10 +315,12 @@
         self.touched.pop(sock.number, None)
         if sock.address is not None:
             self.listeners.pop(sock.address, None)
-        for outgoing, incoming in sock.pending or ():
-            outgoing.reset = incoming.reset = True
-            if incoming.reader is not None:
-                self.touch(incoming.reader)
+        for connection in sock.pending or ():
+            connection.from_client.reset = connection.to_client.reset = True
+            if connection.to_client.reader is not None:
+                self.touch(connection.to_client.reader)
+        for fd in (sock.accepted_early or {}).values():
+            os.close(fd)
 
 
 class CountedSelector(selectors.BaseSelector):
@@ -314,6 +359,9 @@
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Return the ready sockets in order of creation; if there are none, advance the clock."""
+        failure, self._network.failure = self._network.failure, None
+        if failure is not None:
+            raise failure
         ready = []
         touched = self._network.touched
         for number in sorted(touched):
--- a/pebblepass/simulation/runner.py
+++ b/pebblepass/simulation/runner.py
@@ -15,7 +15,7 @@
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.emulators.listeners import LOOPBACK, SetAddressSilent, leave_address_reachable
 from pebblepass.emulators.ports import take_port
-from pebblepass.simulation.clock import VirtualLoop
+from pebblepass.simulation.clock import DeliveryError, VirtualLoop
 from pebblepass.simulation.emulated_services import EmulatedServices, platform_settings
 from pebblepass.simulation.load_generator import LoadGenerator
 from pebblepass.simulation.plan import FaultEvent, Plan, Streams
@@ -312,7 +312,8 @@
 ) -> dict[str, Any]:
     """Run a plan in virtual time with the daemon's code in this process; returns the report.
 
-    The same plan gives the same report. `make` creates a daemon; tests pass one with a fault.
+    The same plan gives the same report. `make` creates a daemon; tests pass one with a fault. Raises
+    RehearsalError.
     """
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         loop = runner.get_loop()
@@ -326,7 +327,10 @@
             transit_slack=VIRTUAL_TRANSIT_S,
             router=lambda _: InProcessRouter(loop, loop.unix_ns, make, plan.scenario.sync is not None),
         )
-        return runner.run(Rehearsal(plan, environment, progress).run())
+        try:
+            return runner.run(Rehearsal(plan, environment, progress).run())
+        except DeliveryError as error:
+            raise RehearsalError(f"the rehearsal was ended: {error}") from None
 
 
 def rehearse_in_real_time(
--- a/tests/simulation/test_clock.py
+++ b/tests/simulation/test_clock.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pebblepass.simulation.clock import START_S, WINDOW, StalledError, VirtualLoop
+from pebblepass.simulation.clock import START_S, WINDOW, DeliveryError, StalledError, VirtualLoop
 from tests.virtual import run_virtual
 
 HOST = "127.0.0.1"
@@ -254,3 +254,88 @@
         again.close()
 
     run_virtual(run)
+
+
+def connect_stranger(port: int) -> socket.socket:
+    """Connect as a program outside the simulation does, such as a health check."""
+    return socket.create_connection((HOST, port))
+
+
+@pytest.mark.parametrize("stays", [False, True])
+def test_connections_of_other_processes_are_closed_and_never_paired(stays: bool) -> None:
+    """Guards against a run that never ends: a stranger's socket does not deliver the counted bytes."""
+    log: list[tuple[float, str]] = []
+    strangers: list[socket.socket] = []
+
+    async def run(loop: VirtualLoop) -> None:
+        def connect(port: int) -> None:
+            strangers.append(connect_stranger(port))
+            if not stays:
+                strangers[-1].close()
+
+        def accept() -> RecordingProtocol:
+            return RecordingProtocol(loop, log, f"server {len(log)}: ")
+
+        server = await loop.create_server(accept, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        for size in (10, 20, 30):
+            connect(port)
+            client = RecordingProtocol(loop, [])
+            transport, _ = await loop.create_connection(lambda made=client: made, HOST, port)
+            connect(port)
+            transport.write(b"x" * size)
+            await asyncio.sleep(1)
+            connect(port)
+            transport.write(b"y" * (size + 1))
+            await asyncio.sleep(1)
+        connect(port)
+
+    run_virtual(run)
+    assert [event.split(": ")[1] for _, event in log] == [
+        f"{size} bytes" for size in (10, 11, 20, 21, 30, 31)
+    ]
+    if stays:
+        assert all(stranger.recv(1) == b"" for stranger in strangers[:7])
+    for stranger in strangers:
+        stranger.close()
+
+
+def test_connections_that_the_kernel_accepts_out_of_order_keep_their_pairs() -> None:
+    """Guards against a connection that is paired with the bytes of another."""
+    log: list[tuple[float, str]] = []
+
+    async def run(loop: VirtualLoop) -> None:
+        names = iter("ab")
+        server = await loop.create_server(lambda: RecordingProtocol(loop, log, next(names)), HOST, 0)
+        address = server.sockets[0].getsockname()
+        listener = loop.network.listeners[address]
+        first, second = loop.network.adopt(), loop.network.adopt()
+        for client in (first, second):
+            client.connect(address)
+        assert listener.pending is not None
+        listener.pending.rotate()
+        first.send(b"one")
+        second.send(b"second")
+        await asyncio.sleep(1)
+        first.close()
+        second.close()
+
+    run_virtual(run)
+    assert [event for _, event in log][:2] == ["a6 bytes", "b3 bytes"]
+
+
+def test_stream_that_ends_early_ends_the_run_with_one_line() -> None:
+    """Guards against a run that reads the end of a stream again and again."""
+
+    async def run(loop: VirtualLoop) -> None:
+        client, server, _, _ = await connect_pair(loop, [])
+        sender = loop.network.by_fd[client.transport.get_extra_info("socket").fileno()]
+        client.transport.write(b"four")
+        assert sender.outgoing is not None
+        sender.outgoing.bytes += 3
+        socket.socket.shutdown(sender, socket.SHUT_WR)
+        await asyncio.sleep(1)
+        pytest.fail(f"the run went on after {server.size} bytes")
+
+    with pytest.raises(DeliveryError, match=r"^a connection ended 3 bytes early$"):
+        run_virtual(run)
--- a/tests/simulation/test_rehearsal.py
+++ b/tests/simulation/test_rehearsal.py
@@ -26,6 +26,7 @@
 from pebblepass.discovery.endpoint_list import EndpointList
 from pebblepass.emulators.ports import BLOCK_SIZE, FIRST_PORT, PortBlock
 from pebblepass.simulation import runner
+from pebblepass.simulation.clock import CountedSocket, Network
 from pebblepass.simulation.plan import make_plan
 from pebblepass.simulation.report import as_json, compare, verdict
 from pebblepass.simulation.request_counts import OUTCOMES
@@ -135,6 +136,39 @@
     assert len(set(idle_reports)) == 1
 
 
+def test_connections_of_other_processes_change_no_report(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a rehearsal that never ends: another program connects to each of its listeners."""
+    plan = make_plan(small(faults=(Fault(kind="router-kill", at_s=3, place=0),)), 3)
+    undisturbed = as_json(rehearse(plan))
+    strangers: list[socket.socket] = []
+    connect = Network.connect
+
+    def connect_among_strangers(network: Network, client: CountedSocket, address: tuple[str, int]) -> None:
+        if address in network.listeners:
+            strangers.append(socket.create_connection(address))
+        connect(network, client, address)
+        strangers.append(socket.create_connection(address))
+        # Every other stranger stays, and the others close at once.
+        for stranger in strangers[:-1:2]:
+            stranger.close()
+
+    monkeypatch.setattr(Network, "connect", connect_among_strangers)
+    disturbed = as_json(rehearse(plan))
+    for stranger in strangers:
+        stranger.close()
+    assert len(strangers) > 100
+    assert disturbed == undisturbed
+
+
+def test_connection_that_ends_early_is_a_rehearsal_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a rehearsal that reads the end of a stream again and again."""
+    monkeypatch.setattr(socket.socket, "recv", lambda *_: b"")
+    with pytest.raises(
+        RehearsalError, match=r"^the rehearsal was ended: a connection ended \d+ bytes early$"
+    ):
+        rehearse(make_plan(small(), 3))
+
+
 def test_different_seeds_give_different_reports() -> None:
     reports = [rehearse(make_plan(small(), seed)) for seed in (1, 2)]
     assert reports[0]["trace"] != reports[1]["trace"]
