Reject an answer with a wrong length at the first byte that shows it

Cause: AnswerParser._bulk_string awaited both bytes of the line end (`_needed_bytes = end + 2`), although the first decides.

Change: it awaits the first. Found beside it by enumerating all changes of one byte: an error line and a load report over 8 KiB were accepted in one piece and rejected in several; they are rejected in both.

The found case (`hit(bytes(10))` with byte 32 = 51) is a test by itself, so that no wording of a property test hides it.

--- a/pebblepass/wire/answers.py
+++ b/pebblepass/wire/answers.py
@@ -111,7 +111,7 @@
                 break
             end = head.end() + int(head[1])
             rest = _HIT_TRAILER.match(data, end)
-            if end - head.end() > LONG_VALUE_BYTES or rest is None or len(rest[2]) != int(rest[1]):
+            if end - head.end() > LONG_VALUE_BYTES or rest is None or not _is_report(rest):
                 break
             entries.append(data[at + 4 : end + 2])
             at = rest.end()
@@ -126,7 +126,7 @@
             return None
         start, length = head.end(), int(head[1])
         rest = _HIT_TRAILER.match(data, start + length)
-        if length > LONG_VALUE_BYTES or rest is None or len(rest[2]) != int(rest[1]):
+        if length > LONG_VALUE_BYTES or rest is None or not _is_report(rest):
             return None
         self.buffered = data[rest.end() :]
         return ParsedAnswer([data[start : start + length], b"hit", rest[2]])
@@ -182,14 +182,23 @@
         if line_end != b"\r\n"[: len(line_end)]:
             raise AnswerFormatError("a value of another length than announced")
         if len(line_end) < 2:
-            self._needed_bytes = end + 2 if len(data) <= end else 0
+            # Warning: not both bytes of the line end, as the first decides whether the length is wrong. The
+            # server may send nothing more, and the attempt would wait until its timeout.
+            self._needed_bytes = end + 1 if len(data) <= end else 0
             return None
         return data[at:end]
 
     def _match_header(self, at: int) -> re.Match[bytes] | None:
         found = _HEADER_LINE.match(self.buffered, at)
-        if found is None:
-            tail = self.buffered[at : at + MAX_METADATA_BYTES + 1]
-            if tail and (len(tail) > MAX_METADATA_BYTES or not _PARTIAL_HEADER_LINE.fullmatch(tail)):
-                raise AnswerFormatError("an invalid line")
+        # The bytes that an incomplete line would have had before its last one.
+        line = self.buffered[at : found.end() - 1 if found is not None else at + MAX_METADATA_BYTES + 1]
+        is_invalid = found is None and line and not _PARTIAL_HEADER_LINE.fullmatch(line)
+        if is_invalid or len(line) > MAX_METADATA_BYTES:
+            raise AnswerFormatError("an invalid line")
         return found
+
+
+def _is_report(trailer: re.Match[bytes]) -> bool:
+    """Whether the load report of a hit has the announced length, within the bound."""
+    length = int(trailer[1])
+    return len(trailer[2]) == length <= MAX_METADATA_BYTES
--- a/tests/daemon/test_answer_parsing.py
+++ b/tests/daemon/test_answer_parsing.py
@@ -114,6 +114,16 @@
     assert at_once[0] == byte_by_byte[0]
 
 
+@pytest.mark.parametrize("piece_size", [1, 2, 1000])
+def test_report_announced_one_byte_too_long_ends_the_attempt_with_its_last_byte(piece_size: int) -> None:
+    """Guards against an attempt that waits until its timeout for a byte that never comes."""
+    answer = bytearray(hit(bytes(10)))
+    answer[32] = ord("3")  # announces 23 bytes in place of 22
+    outcomes, usable = parse_in_pieces(bytes(answer), piece_size)
+    assert outcomes == [(Outcome.ERROR, None, None, None)]
+    assert not usable
+
+
 def test_trailing_bytes_retire_the_connection_but_not_the_answer() -> None:
     (outcome,), usable = parse_in_pieces(hit(b"value") + MISS, 10_000)
     assert outcome[:2] == (Outcome.OK, b"value")
