Parse each byte of a client's command when it arrives

Need: a malformed command in pieces got its error after 2 s, when the command timed out; in one piece at once.

Cause: the reader parsed a command from its start each time, and looked at nothing before the whole command's least length was there, although an earlier byte may decide that it is malformed.

Change: CommandReader continues where it stopped (`_PartialCommand`). The error depends on the bytes up to it alone. `needed_bytes` stays as the size that memory is reserved for.

--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -62,12 +62,18 @@
 
 
 class CommandReader:
-    """Splits a client's bytes into commands, each a list of words."""
+    """Splits a client's bytes into commands, each a list of words.
+
+    It parses each byte when it is received, and continues where it has stopped: a malformed command is
+    rejected at the byte that decides it, and a long one in small pieces is parsed once.
+    """
 
     def __init__(self, accepts_multi_get: bool = False) -> None:
         """`accepts_multi_get`: whether multi-gets, which have far more words, are accepted."""
+        self._max_words = MAX_MULTI_GET_WORDS if accepts_multi_get else MAX_WORDS
         self._accepts_multi_get = accepts_multi_get
         self._buffer = bytearray()
+        self._partial = _PartialCommand()
         self.needed_bytes = 0
         """Minimum number of bytes of the partial command; 0 if there is none."""
         self.framing_error = ""
@@ -90,68 +96,126 @@
         """
         if self.needed_bytes:
             self._buffer += data
-            if len(self._buffer) < self.needed_bytes:
-                return []
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            self.needed_bytes = 0
-        elif (words := _parse_single_read(data)) is not None:
+            return self._parse(self._buffer)
+        if (words := _parse_single_read(data)) is not None:
             return [words]
         if self._accepts_multi_get and (words := _parse_single_multi_get(data)) is not None:
             return [words]
+        return self._parse(data)
+
+    def _parse(self, data: bytes | bytearray) -> list[list[bytes]]:
+        """Parse data that begins with the partial command, if there is one; keep the next partial one."""
         commands: list[list[bytes]] = []
-        position = 0
-        while position < len(data):
-            try:
-                words, end = self._command(data, position)
-            except FramingError as error:
-                self.framing_error = str(error)
-                break
-            if not end:
-                self._buffer += data[position:]
-                break
-            commands.append(words)
-            position = end
+        begin = 0
+        try:
+            while begin < len(data) and (end := self._advance(data, begin)):
+                commands.append(self._partial.words)
+                self._partial = _PartialCommand()
+                begin = end
+        except FramingError as error:
+            self.framing_error = str(error)
+            begin = len(data)
+        if data is self._buffer:
+            del self._buffer[:begin]
+        else:
+            self._buffer += data[begin:]
+        self.needed_bytes = self._partial.needed_bytes(len(self._buffer)) if self._buffer else 0
         return commands
 
-    def _command(self, data: bytes, begin: int) -> tuple[list[bytes], int]:
-        count, position = self._length(data, begin, b"*")
-        if position and not 1 <= count <= (MAX_MULTI_GET_WORDS if self._accepts_multi_get else MAX_WORDS):
-            raise FramingError("invalid multibulk length")
-        words: list[bytes] = []
-        while position and len(words) < count:
-            size, start = self._length(data, position, b"$")
-            if not start:
-                position = 0
-                break
-            position = start + size + 2
-            if size > MAX_VALUE_BYTES:
-                raise FramingError("value too long")
-            if position - begin > MAX_VALUE_BYTES + MAX_NON_VALUE_BYTES:
-                raise FramingError("command too long")
-            if len(data) < position:
-                # Includes the words after this one, else a long command in small pieces is parsed at each
-                # piece.
-                self.needed_bytes = position - begin + MIN_WORD_BYTES * (count - len(words) - 1)
-                return [], 0
-            if data[position - 2 : position] != b"\r\n":
-                raise FramingError("bulk string without its end")
-            words.append(data[start : position - 2])
-            if count > MAX_WORDS and words[0].upper() != MULTI_GET_COMMAND:
+    def _advance(self, data: bytes | bytearray, begin: int) -> int:
+        """Parse the command that begins there as far as it is received; return its end, 0 if incomplete.
+
+        Raises FramingError.
+        """
+        partial = self._partial
+        if not partial.count:
+            count, position = _length_line(data, begin, b"*")
+            if not position:
+                return 0
+            if not 1 <= count <= self._max_words:
                 raise FramingError("invalid multibulk length")
-        if not position:
-            self.needed_bytes = len(data) - begin + max(MIN_WORD_BYTES * (count - len(words) - 1), 1)
-        return words, position
-
-    def _length(self, data: bytes, begin: int, type_byte: bytes) -> tuple[int, int]:
-        """Return the number in a length line and the position after the line; 0 and 0 if it is incomplete."""
-        end = data.find(b"\r\n", begin, begin + MAX_HEADER_BYTES)
-        if end < 0 and len(data) - begin < MAX_HEADER_BYTES and type_byte.startswith(data[begin : begin + 1]):
-            return 0, 0
-        digits = data[begin + 1 : end] if end > 0 else b""
-        if data[begin : begin + 1] != type_byte or not digits.isdigit():
-            raise FramingError(f"expected {type_byte.decode()!r} and a length")
-        return int(digits), end + 2
+            partial.count, partial.parsed_bytes = count, position - begin
+        while len(partial.words) < partial.count:
+            if partial.word_bytes is None:
+                size, position = _length_line(data, begin + partial.parsed_bytes, b"$")
+                if not position:
+                    return 0
+                partial.parsed_bytes = position - begin
+                partial.start_word(size)
+            if not self._finish_word(data, begin):
+                return 0
+        return begin + partial.parsed_bytes
+
+    def _finish_word(self, data: bytes | bytearray, begin: int) -> bool:
+        """Add the word whose length is known, unless it is incomplete. Raises FramingError."""
+        partial = self._partial
+        assert partial.word_bytes is not None
+        start = begin + partial.parsed_bytes
+        end = start + partial.word_bytes
+        line_end = data[end : end + 2]
+        if line_end != b"\r\n":
+            if not b"\r\n".startswith(line_end):
+                raise FramingError("bulk string without its end")
+            return False
+        partial.words.append(bytes(data[start:end]))
+        partial.parsed_bytes, partial.word_bytes = end + 2 - begin, None
+        if partial.count > MAX_WORDS and partial.words[0].upper() != MULTI_GET_COMMAND:
+            raise FramingError("invalid multibulk length")
+        return True
+
+
+class _PartialCommand:
+    """What is parsed of a command."""
+
+    __slots__ = ("count", "parsed_bytes", "word_bytes", "words")
+
+    def __init__(self) -> None:
+        self.count = 0
+        """The announced number of words; 0 before its line is complete."""
+        self.words: list[bytes] = []
+        self.parsed_bytes = 0
+        """The bytes up to the end of the last complete word, or of the length line of the current one."""
+        self.word_bytes: int | None = None
+        """The announced length of the current word; None before its line is complete."""
+
+    def start_word(self, size: int) -> None:
+        """Start a word of this length in bytes; raises FramingError if the command becomes too long."""
+        if size > MAX_VALUE_BYTES:
+            raise FramingError("value too long")
+        if self.parsed_bytes + size + 2 > MAX_VALUE_BYTES + MAX_NON_VALUE_BYTES:
+            raise FramingError("command too long")
+        self.word_bytes = size
+
+    def needed_bytes(self, received: int) -> int:
+        """Return the minimum number of bytes of the command, of which `received` are there."""
+        missing_words = self.count - len(self.words)
+        if self.word_bytes is None:
+            # At least one byte of a length line is missing.
+            return max(received + 1, self.parsed_bytes + MIN_WORD_BYTES * missing_words)
+        return self.parsed_bytes + self.word_bytes + 2 + MIN_WORD_BYTES * (missing_words - 1)
+
+
+def _length_line(data: bytes | bytearray, begin: int, type_byte: bytes) -> tuple[int, int]:
+    """Return the number in a length line and the position after the line; 0 and 0 if it is incomplete.
+
+    Raises FramingError.
+    """
+    end = data.find(b"\r\n", begin, begin + MAX_HEADER_BYTES)
+    if end < 0 and _is_partial_length_line(data[begin : begin + MAX_HEADER_BYTES], type_byte):
+        return 0, 0
+    digits = data[begin + 1 : end] if end > 0 else b""
+    if data[begin : begin + 1] != type_byte or not digits.isdigit():
+        raise FramingError(f"expected {type_byte.decode()!r} and a length")
+    return int(digits), end + 2
+
+
+def _is_partial_length_line(line: bytes | bytearray, type_byte: bytes) -> bool:
+    """Whether further bytes can complete this to a length line."""
+    if len(line) >= MAX_HEADER_BYTES or not type_byte.startswith(line[:1]):
+        return False
+    number = line[1:]
+    digits = number.removesuffix(b"\r")
+    return not number or digits.isdigit()
 
 
 def _parse_single_read(data: bytes) -> list[bytes] | None:
--- a/tests/wire/test_malformed_input_in_pieces.py
+++ b/tests/wire/test_malformed_input_in_pieces.py
@@ -10,8 +10,9 @@
 
 import pytest
 
+from pebblepass.wire import resp
 from pebblepass.wire.answers import AnswerFormatError, AnswerParser
-from pebblepass.wire.resp import LONG_VALUE_BYTES, bulk
+from pebblepass.wire.resp import LONG_VALUE_BYTES, CommandReader, bulk, command
 
 REPLACEMENTS = b"\r\n$*:+-0129kX"
 
@@ -106,3 +107,81 @@
     parser.feed(b"x")
     with pytest.raises(AnswerFormatError):
         parser.next_answer()
+
+
+def parse_commands(pieces: list[bytes]) -> tuple[list[list[bytes]], str, int]:
+    """Return the commands, the framing error if there is one, and the number of bytes received until then."""
+    reader, found, received = CommandReader(accepts_multi_get=True), list[list[bytes]](), 0
+    for piece in pieces:
+        found += reader.feed(piece)
+        received += len(piece)
+        if reader.framing_error:
+            break
+    return found, reader.framing_error, received
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        command(b"KV.GET", b"k", b"", b""),
+        command(b"KV.SET", b"key", b"id", b"c=get,d=5", b"a\r\nvalue"),
+        command(b"KV.MGET", b"2", b"k1", b"k2", b"id", b"c=get,d=5"),
+        command(b"PING") + command(b"KV.GET", b"key", b"id", b"c=get,d=5"),
+    ],
+)
+def test_a_changed_command_has_the_same_result_at_once_and_byte_by_byte(sent: bytes) -> None:
+    for changed in changed_messages(sent):
+        at_once, in_pieces = parse_commands([changed]), parse_commands(bytewise(changed))
+        assert at_once[:2] == in_pieces[:2], changed
+        for cut in range(1, len(changed)):
+            assert parse_commands([changed[:cut], changed[cut:]])[:2] == at_once[:2], (changed, cut)
+
+
+@pytest.mark.parametrize(
+    ("malformed", "error"),
+    [
+        # Each ends with the byte that decides.
+        (b"*4\r\n$6\r\nKV.GET\r\n$1\r\n\r\n", "bulk string without its end"),
+        (b"*4\r\n$6\r\nKV.GETx", "bulk string without its end"),
+        (b"*4\r\n$6\r\nKV.GET\r\r", "bulk string without its end"),
+        (b"*4\r\n$6\r\nKV.GET\r\n$x", "expected '$' and a length"),
+        (b"*4\r\n$6\r\nKV.GET\r\n$\r", "expected '$' and a length"),
+        (b"*4\r\n*", "expected '$' and a length"),
+        (b"*4x", "expected '*' and a length"),
+        (b"*-", "expected '*' and a length"),
+    ],
+)
+def test_a_malformed_command_is_rejected_at_the_byte_that_decides_it(malformed: bytes, error: str) -> None:
+    """Guards against a client that waits until its command times out for the error."""
+    for pieces in ([malformed], bytewise(malformed), [malformed[:-1], malformed[-1:]]):
+        assert parse_commands(pieces) == ([], error, len(malformed))
+    assert parse_commands([malformed[:-1]])[1] == ""
+
+
+def test_a_long_command_in_small_pieces_is_parsed_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against work that grows with the square of a command's length."""
+    parse_length_line, parse_count = resp._length_line, 0
+
+    def count_length_line(data: bytes | bytearray, begin: int, type_byte: bytes) -> tuple[int, int]:
+        nonlocal parse_count
+        parse_count += 1
+        return parse_length_line(data, begin, type_byte)
+
+    monkeypatch.setattr(resp, "_length_line", count_length_line)
+    keys = [b"pkg/%d/1.0" % number for number in range(1000)]
+    words = [b"KV.MGET", b"1000", *keys, b"id", b"c=get,d=5"]
+    sent = command(*words)
+    assert parse_commands(bytewise(sent)) == ([words], "", len(sent))
+    assert parse_count < len(sent)
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_the_bytes_needed_of_a_partial_command_never_exceed_its_length(size: int) -> None:
+    """The number that memory is reserved for; it reaches the length with the last length line."""
+    sent = command(b"KV.SET", b"key", b"id", b"c=get,d=5", b"v" * 2000)
+    reader, needed = CommandReader(), 0
+    for start in range(0, len(sent), size):
+        found = reader.feed(sent[start : start + size])
+        assert found or needed <= reader.needed_bytes <= len(sent)
+        needed = reader.needed_bytes or needed
+    assert (len(found), needed, reader.needed_bytes, reader.buffered_bytes) == (1, len(sent), 0, 0)
