--- a/pebblepass/accounting/ledger.py
+++ b/pebblepass/accounting/ledger.py
@@ -128,11 +128,7 @@
         """`latency_targets`: nanoseconds for each class; `on_breach` is called with each breach."""
         self._latency_targets = latency_targets
         self._namespace_labels: dict[str | None, str] = {name: name for name in namespaces}
-        self._accounts: dict[tuple[str, str], Account] = {
-            (name, namespace): Account(name, namespace)
-            for name in latency_targets
-            for namespace in (*self._namespace_labels.values(), OTHER)
-        }
+        self._accounts = self._empty_accounts()
         self._entries: dict[str, _Entry] = {}
         # Validated operations that are not yet added to the accounts; see `_post_operations`.
         self._opened: list[_Entry] = []
@@ -268,6 +264,17 @@
             self._overdue.discard(request)
         return entry
 
+    def _empty_accounts(self) -> dict[tuple[str, str], Account]:
+        return {
+            (name, namespace): Account(name, namespace)
+            for name in self._latency_targets
+            for namespace in (*self._namespace_labels.values(), OTHER)
+        }
+
+    def discard_imported_rows(self) -> None:
+        """Begin at zero again; call it only before the first request."""
+        self._accounts = self._empty_accounts()
+
     def import_rows(self, rows: Iterable[dict[str, Any]]) -> None:
         """Add a predecessor's closing balance, in the form of `export_rows`.
 
--- a/pebblepass/accounting/service.py
+++ b/pebblepass/accounting/service.py
@@ -23,6 +23,7 @@
 
 AUDIT_INTERVAL_S = 0.08  # so that breaches are reported within 0.1 s
 DEADLINE_SLACK_NS = 120_000_000  # time after its deadline in which a request may still be closed
+FIRST_SNAPSHOT_TIMEOUT_S = 2.0  # for a start on a slow disk; the platform wants it ready within some seconds
 
 T = TypeVar("T")
 
@@ -55,7 +56,7 @@
         self._unix_ns = unix_ns
         self._file = Path(section.directory) / f"{router}.figures.json" if section.directory else None
         self.ledger = make_ledger(settings, self._report_breach)
-        self.epoch, self.unknown = fresh_epoch, 0
+        self._fresh_epoch, self.epoch, self.unknown = fresh_epoch, fresh_epoch, 0
         if self._file is not None:
             try:
                 initial = snapshot.load_initial_state(self._file, router, fresh_epoch)
@@ -73,7 +74,7 @@
         self._webhook = _make_webhook(loop, section.webhook) if section.webhook else None
         # One thread for the disk, which may hang, and one for the pages; each starts with its first task.
         self._workers = ThreadPoolExecutor(2)
-        self._pending_write: asyncio.Future[None] | None = None
+        self._pending_write: asyncio.Future[bool] | None = None
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._open_requests: Callable[[], Collection[str]] = tuple
         self._now: Callable[[], int] = lambda: 0
@@ -83,9 +84,12 @@
     ) -> Address | None:
         """Start audits, pages and snapshots; raises OSError if the address can't be bound.
 
-        `open_requests` returns the ids of requests without a final answer.
+        `open_requests` returns the ids of requests without a final answer. No request may be counted before
+        it returns.
         """
         self._now, self._open_requests = now, open_requests
+        if self.epoch != self._fresh_epoch:
+            await self._replace_closing_snapshot()
         bound = await self._listener.listen(self._address) if self._address is not None else None
         self._audit()
         if self._file is not None:
@@ -167,12 +171,29 @@
         if self._pending_write is None or self._pending_write.done():
             self._pending_write = self._run_in_worker(self._snapshot(closing=False))
 
-    def _snapshot(self, closing: bool) -> Callable[[], None]:
-        """Return a function that writes the present state of the ledger."""
+    async def _replace_closing_snapshot(self) -> None:
+        """Replace the predecessor's closing snapshot by one that does not close, or start a new epoch.
+
+        Warning: after a kill the next process continues a closing snapshot that is still there. What this
+        process had counted would be missing from the epoch without a sign.
+        """
+        self._pending_write = self._run_in_worker(self._snapshot(closing=False))
+        try:
+            async with asyncio.timeout(FIRST_SNAPSHOT_TIMEOUT_S):
+                if await asyncio.shield(self._pending_write):
+                    return
+        except TimeoutError:
+            log.error("%s: writing the first snapshot takes too long", self._file)
+        log.error("%s: the predecessor's epoch is not continued", self._file)
+        self.epoch = self._fresh_epoch
+        self.ledger.discard_imported_rows()
+
+    def _snapshot(self, closing: bool) -> Callable[[], bool]:
+        """Return a function that writes the present state of the ledger, and returns whether it succeeded."""
         file, cut, now = self._file, self.ledger.cut(), self._unix_ns()
         assert file is not None
 
-        def write() -> None:
+        def write() -> bool:
             try:
                 data = snapshot.encode(
                     self._router, self.epoch, now, closing, cut.breach_count, cut.export_rows()
@@ -184,6 +205,8 @@
                     file,
                     error.strerror,
                 )
+                return False
+            return True
 
         return write
 
--- a/tests/accounting/test_service.py
+++ b/tests/accounting/test_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import threading
 import time
@@ -16,8 +17,13 @@
 
 from pebblepass.accounting.ledger import OTHER
 from pebblepass.accounting.listener import MAX_CONNECTIONS, MAX_HEAD_BYTES
-from pebblepass.accounting.service import AUDIT_INTERVAL_S, DEADLINE_SLACK_NS, AccountingService
-from pebblepass.accounting.snapshot import SnapshotError, decode, encode
+from pebblepass.accounting.service import (
+    AUDIT_INTERVAL_S,
+    DEADLINE_SLACK_NS,
+    FIRST_SNAPSHOT_TIMEOUT_S,
+    AccountingService,
+)
+from pebblepass.accounting.snapshot import SnapshotError, decode, encode, load_initial_state
 from pebblepass.accounting.webhook import MAX_QUEUED
 from pebblepass.emulators.ports import take_port
 from pebblepass.operator_config import AccountingSection
@@ -299,6 +305,62 @@
 # Snapshots
 
 
+class SlowDiskLoop(VirtualLoop):
+    """Runs what is given to a worker thread only after some time, or never."""
+
+    delay_s: float | None = None
+
+    def run_in_executor(self, executor: Any, func: Any, *args: Any) -> asyncio.Future[Any]:  # type: ignore[override]
+        done: asyncio.Future[Any] = self.create_future()
+        if self.delay_s is not None:
+            self.call_later(self.delay_s, self._finish, done, func, args)
+        return done
+
+    @staticmethod
+    def _finish(done: asyncio.Future[Any], func: Any, args: tuple[Any, ...]) -> None:
+        if not done.cancelled():
+            done.set_result(func(*args))
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "is_writable", "is_continued"),
+    [(0.0, True, True), (1.0, True, True), (30.0, True, False), (None, True, False), (0.0, False, False)],
+)
+def test_no_count_joins_an_epoch_that_the_next_process_would_continue(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    delay_s: float | None,
+    is_writable: bool,
+    is_continued: bool,
+) -> None:
+    """Guards against counts that are missing without a sign after a kill before the first snapshot."""
+    file = tmp_path / "n1.figures.json"
+    file.write_bytes(encode("n1", "epoch-0", 0, True, 0, [ROW]))
+
+    def fail(path: Path, data: bytes) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    if not is_writable:
+        monkeypatch.setattr("pebblepass.accounting.snapshot.write_file", fail)
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, SlowDiskLoop)
+        loop.delay_s = delay_s
+        running = RunningService(loop, directory=str(tmp_path))
+        started_at = loop.time()
+        await running.start()
+        assert loop.time() - started_at <= FIRST_SNAPSHOT_TIMEOUT_S
+        service = running.service
+        assert service.epoch == ("epoch-0" if is_continued else "epoch-1")
+        assert bool(service.ledger.export_rows()) == is_continued
+        next_process = load_initial_state(file, "n1", "epoch-2")
+        assert next_process.epoch != service.epoch
+
+    with asyncio.Runner(loop_factory=SlowDiskLoop) as runner:
+        runner.run(work())
+
+
 def test_planned_restart_continues_the_counts_in_the_same_epoch(tmp_path: Path) -> None:
     async def work(loop: VirtualLoop) -> None:
         first = RunningService(loop, directory=str(tmp_path))
