Keep the server connections that open requests wait for in an upgrade

Cause: every 20 ms the old process lowers its limit of connections to servers to the number with an exchange.

Change: the limit falls to what the exchanges can use at once, plus the open requests that have not begun one (predecessor_server_limit, beside the split of the descriptors). It still never grows.

--- a/pebblepass/daemon/connection_pool.py
+++ b/pebblepass/daemon/connection_pool.py
@@ -86,6 +86,19 @@
         """Number of dials in progress and of connections that are not idle."""
         return self._connection_count - sum(len(server.idle) for server in self._servers.values())
 
+    @property
+    def exchange_count(self) -> int:
+        """Number of exchanges that have a connection or wait for one."""
+        return sum(server.exchange_count for server in self._servers.values())
+
+    @property
+    def needed_connections(self) -> int:
+        """Number of connections that the exchanges can use at once, at least those in use and dialled.
+
+        A connection that rests before its reuse is needed if an exchange waits for it.
+        """
+        return sum(server.needed_connections for server in self._servers.values())
+
     @property
     def limit(self) -> int:
         """Maximum number of connections."""
--- a/pebblepass/daemon/server_connection.py
+++ b/pebblepass/daemon/server_connection.py
@@ -226,6 +226,18 @@
         """Number of open connections and dials in progress."""
         return len(self.connections) + len(self.dials)
 
+    @property
+    def exchange_count(self) -> int:
+        """Number of exchanges that have a connection or wait for one."""
+        waiting = sum(not exchange.is_over for exchange in self.waiting)
+        return len(self.connections) - len(self.idle) + waiting
+
+    @property
+    def needed_connections(self) -> int:
+        """Number of connections that its exchanges can use at once, at least those in use and dialled."""
+        in_use = self.connection_count - len(self.idle)
+        return max(in_use, min(self.exchange_count, MAX_CONNECTIONS_PER_SERVER))
+
     def record_dial_timeout(self, started_at: float, now: float) -> bool:
         """Record a dial that timed out; returns whether it is excluded from the server's health statistics.
 
--- a/pebblepass/daemon/upgrade.py
+++ b/pebblepass/daemon/upgrade.py
@@ -15,15 +15,17 @@
 from pebblepass.decisions import ListKind, StateImported
 from pebblepass.discovery.client import DiscoveryClient
 from pebblepass.discovery.endpoint_list import ClockOffset, encode_endpoint_list, parse_endpoint_list
-from pebblepass.handover.descriptor_split import ConnectionLimits, DescriptorSplit
+from pebblepass.handover.descriptor_split import (
+    ConnectionLimits,
+    DescriptorSplit,
+    predecessor_server_limit,
+)
 from pebblepass.handover.errors import HandoverError
 from pebblepass.handover.handover import Handover
 from pebblepass.handover.messages import MAX_CONNECTIONS_PER_MESSAGE, ConnectionCounts, ConnectionState
 from pebblepass.handover.router_snapshot import RouterSnapshot, decode_snapshot, encode_snapshot
 from pebblepass.handover.state_aging import age_state
 
-MIN_SERVER_CONNECTIONS = 2  # that the old process may still have, for the requests that it has accepted
-
 
 class RouterParts(Struct, frozen=True):
     """The parts of a router that take part in an upgrade."""
@@ -127,7 +129,14 @@
             self._parts.clients.hand_over(
                 self._queue_handover
             )  # those with unsent bytes were not handed over before
-        pool.limit = max(pool.busy, MIN_SERVER_CONNECTIONS)
+        # Warning: connections that rest before reuse look idle, although exchanges wait for them. If closed
+        # here, requests would be rejected for want of connections.
+        pool.limit = predecessor_server_limit(
+            pool.limit,
+            pool.needed_connections,
+            len(self._parts.host.open_requests()),
+            pool.exchange_count,
+        )
         return ConnectionCounts(self._parts.clients.connected, pool.limit)
 
     def limit_connections(self, limits: ConnectionLimits, alone: bool) -> None:
--- a/tests/daemon/test_connection_pool.py
+++ b/tests/daemon/test_connection_pool.py
@@ -333,3 +333,19 @@
         assert harness.accepted == 1
 
     run_with_pool(test, is_http=is_http)
+
+
+def test_connections_that_rest_are_needed_while_exchanges_wait_for_them() -> None:
+    async def test(harness: PoolHarness) -> None:
+        pool, waiting = harness.pool, 5
+        exchanges = [harness.submit(b"r%d" % i) for i in range(MAX_CONNECTIONS_PER_SERVER + waiting)]
+        assert (pool.needed_connections, pool.exchange_count) == (MAX_CONNECTIONS_PER_SERVER, len(exchanges))
+        for exchange in exchanges[:MAX_CONNECTIONS_PER_SERVER]:
+            await exchange.result()
+        # All of them rest now; the others wait.
+        assert (pool.busy, pool.needed_connections, pool.exchange_count) == (0, waiting, waiting)
+        for exchange in exchanges:
+            await exchange.result()
+        assert (pool.needed_connections, pool.exchange_count) == (0, 0)
+
+    run_with_pool(test)
--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -8,9 +8,11 @@
 import signal
 import socket
 import subprocess
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 
+from pebblepass.daemon.server_connection import MAX_CONNECTIONS_PER_SERVER
 from pebblepass.emulators.ports import take_port
 from tests.daemon.test_operations import call_control, read_counters
 from tests.processes import kill_process
@@ -164,6 +166,35 @@
         assert old.returncode == 0
 
 
+def test_old_process_keeps_the_server_connections_that_its_open_requests_wait_for(tmp_path: Path) -> None:
+    """Guards against requests that are rejected for want of connections: those that rest look idle."""
+    at_server, pipelined, rounds = MAX_CONNECTIONS_PER_SERVER, 16, 8
+    may_answer = threading.Event()
+    # An answer comes only while every connection has a request.
+    all_connections = threading.Barrier(at_server)
+
+    def cache(_: socket.socket, words: list[bytes]) -> bytes:
+        may_answer.wait(WAIT_TIMEOUT_S)
+        all_connections.wait(WAIT_TIMEOUT_S)
+        return hit(words[2])
+
+    with site(tmp_path, {"s1": Peer(cache)}) as upgrade:
+        old, _ = upgrade.start()
+        clients = [upgrade.client() for _ in range(at_server * rounds // pipelined)]
+        for name, client in enumerate(clients):
+            requests = [get(f"q{name}.{n}", f"k{n}", LONG_DEADLINE_MS) for n in range(pipelined)]
+            client.send(b"".join(requests))
+        eventually(lambda: len(upgrade.caches["s1"].requests) == at_server, "every connection has a request")
+        upgrade.start()
+        old.send_signal(signal.SIGTERM)
+        may_answer.set()
+        for name, client in enumerate(clients):
+            assert [client.read_reply() for _ in range(pipelined)] == [
+                f"q{name}.{n}".encode() for n in range(pipelined)
+            ]
+        upgrade.end(old)
+
+
 def test_old_process_serves_again_when_the_new_one_is_killed(tmp_path: Path) -> None:
     with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as upgrade:
         old, ops = upgrade.start()
