Let only the main thread of a router receive signals

Cause: libuv's worker threads, started by uvloop's create_server, block no signal. The interpreter's C handler ran on one of them, was preempted, and went on after the main thread had ended the interpreter.

Change: daemon/exit_signals.py starts the loop's workers with all signals blocked; threads for the disk block them (storage/worker_threads.py), and so does the one of scale/full.py. The main thread blocks the handled signals before the loop closes, and SIGUSR1 is ignored at the end like SIGTERM and SIGHUP.

--- a/pebblepass/accounting/service.py
+++ b/pebblepass/accounting/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Collection
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, TypeVar
 from urllib.parse import urlsplit
@@ -19,6 +18,7 @@
 from pebblepass.control.http_server import Page
 from pebblepass.decisions.interface import Settings
 from pebblepass.operator_config import AccountingSection
+from pebblepass.storage.worker_threads import worker_threads
 from pebblepass.wire.address import Address, parse_address
 
 AUDIT_INTERVAL_S = 0.08  # so that breaches are reported within 0.1 s
@@ -73,7 +73,7 @@
         )
         self._webhook = _make_webhook(loop, section.webhook) if section.webhook else None
         # One thread for the disk, which may hang, and one for the pages; each starts with its first task.
-        self._workers = ThreadPoolExecutor(2)
+        self._workers = worker_threads(2)
         self._pending_write: asyncio.Future[bool] | None = None
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._open_requests: Callable[[], Collection[str]] = tuple
--- a/pebblepass/consensus/service.py
+++ b/pebblepass/consensus/service.py
@@ -6,7 +6,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
 
 from msgspec import Struct
 
@@ -26,6 +25,7 @@
 from pebblepass.storage.disk import Disk
 from pebblepass.storage.frames import FileHeader, StorageError
 from pebblepass.storage.log import Log
+from pebblepass.storage.worker_threads import worker_threads
 from pebblepass.wire.address import Address
 
 FORMAT, VERSION = "pebblepass-agreement", 1
@@ -90,7 +90,7 @@
         )
         self.counts: Counter[str] = Counter()
         """Counts of messages, writes and failed writes."""
-        self._worker = ThreadPoolExecutor(1) if self._log is not None else None
+        self._worker = worker_threads(1) if self._log is not None else None
         self._pending_writes: list[Write] = []
         self._writing = False
         self._timer: asyncio.TimerHandle | None = None
--- a/pebblepass/daemon/__main__.py
+++ b/pebblepass/daemon/__main__.py
@@ -18,6 +18,7 @@
 from pebblepass.connection_limits import descriptors
 from pebblepass.daemon.config import Config, ConfigError, load_config
 from pebblepass.daemon.daemon import Daemon
+from pebblepass.daemon.exit_signals import block_signals, ignore_signals, start_worker_threads
 from pebblepass.daemon.log import LogRateLimit, make_logger
 from pebblepass.daemon.loop import DaemonLoop
 
@@ -123,6 +124,7 @@
     loop.set_exception_handler(
         lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
     )
+    await start_worker_threads(loop)
     reserved = operator_descriptors(operator, config.name)
     daemon = daemon_class(loop, config, startup_cpu_s=time.process_time(), reserved_descriptors=reserved)
     if operator.multi_get is not None:
@@ -151,6 +153,7 @@
     if accounting is not None:
         accounting.stop(closing=True)
     await asyncio.sleep(0)
+    block_signals()
 
 
 def main() -> int:
@@ -178,10 +181,7 @@
         except (OSError, ConfigError) as error:
             print(f"pebblepass: {error}", file=sys.stderr)
             return 2 if isinstance(error, ConfigError) else 1
-    # Warning: as it finalizes, the interpreter restores the default action of signals with a handler, so that
-    # another signal would kill the process. It keeps signals ignored that are ignored already.
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, signal.SIG_IGN)
+    ignore_signals()
     return 0
 
 
--- a/pebblepass/scale/full.py
+++ b/pebblepass/scale/full.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import threading
 
@@ -15,6 +16,7 @@
 
 
 def _exit_at_end_of_input() -> None:
+    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())  # see daemon.exit_signals
     while os.read(0, 1 << 12):
         pass
     os._exit(0)
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -82,6 +82,28 @@
 )
 
 
+# Loaded like the above: the process writes down which signals it blocks at each moment of its end.
+RECORD_BLOCKED_SIGNALS = """
+import asyncio, atexit, os, signal
+
+def record(moment):
+    blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    with open(os.environ["RECORD"], "a") as file:
+        file.write(moment + ": " + " ".join(str(int(number)) for number in sorted(blocked)) + "\\n")
+
+def recorded(method, moment):
+    def wrapped(*given):
+        record("before " + moment)
+        returned = method(*given)
+        record("after " + moment)
+        return returned
+    return wrapped
+
+asyncio.Runner.close = recorded(asyncio.Runner.close, "the loop closes")
+atexit.register(record, "as the interpreter exits")
+"""
+
+
 def started(config: Path, folder: Path, **environ: str) -> subprocess.Popen[str]:
     """Start a router by the deploy file's `run` line, with this interpreter in place of that of `build`."""
     run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
@@ -245,6 +267,48 @@
     assert "Traceback" not in log
 
 
+def test_signals_are_blocked_from_before_the_loop_closes_until_the_exit(tmp_path: Path) -> None:
+    """Guards against a signal that is delivered while its handler is being replaced."""
+    modules, record = tmp_path / "modules", tmp_path / "record"
+    modules.mkdir()
+    (modules / "sitecustomize.py").write_text(RECORD_BLOCKED_SIGNALS)
+    process, port = started_alone(tmp_path, PYTHONPATH=str(modules), RECORD=str(record))
+    with ending(process):
+        eventually(lambda: listens(port), "it listens")
+        process.send_signal(signal.SIGTERM)
+        _, log = process.communicate(timeout=WAIT_TIMEOUT_S)
+    assert process.returncode == 0, log
+    handled = " ".join(str(int(number)) for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM))
+    moments = ("before the loop closes", "after the loop closes", "as the interpreter exits")
+    assert record.read_text().splitlines() == [f"{moment}: {handled}" for moment in moments]
+
+
+def test_only_the_main_thread_of_a_router_receives_signals(tmp_path: Path) -> None:
+    """Guards against a handler on a delayed worker thread, which runs after the interpreter has ended."""
+    operator = tmp_path / "operator.toml"
+    operator.write_text(f'[figures]\nlisten = "127.0.0.1:{take_port()}"\ndirectory = "{tmp_path}"\n')
+    process, port = started_alone(tmp_path, PEBBLEPASS_OPERATOR=str(operator))
+    with ending(process):
+        eventually(lambda: listens(port), "it listens")
+        tasks = Path(f"/proc/{process.pid}/task")
+        eventually(lambda: len(list(tasks.iterdir())) > 1, "it has worker threads")
+
+        def receiving() -> list[str]:
+            return [task.name for task in tasks.iterdir() if not blocks_signals(task)]
+
+        eventually(lambda: receiving() == [str(process.pid)], f"only {process.pid} receives: {receiving()}")
+        assert end_by_sigterm(process, WAIT_TIMEOUT_S).count("Traceback") == 0
+    assert process.returncode == 0
+
+
+def blocks_signals(task: Path) -> bool:
+    """Whether a thread blocks SIGTERM, SIGHUP, SIGUSR1 and SIGINT, by its folder in /proc."""
+    lines = (task / "status").read_text().splitlines()
+    blocked = int(next(line for line in lines if line.startswith("SigBlk:")).split()[1], 16)
+    numbers = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT)
+    return all(blocked >> (number - 1) & 1 for number in numbers)
+
+
 def test_repeated_sigterm_until_the_exit_changes_nothing(tmp_path: Path) -> None:
     """Includes the time after the interpreter's teardown, when the process can't signal itself."""
     process, port = started_alone(tmp_path)
