Evict silent newcomers before clients that go on sending

Cause: choose_eviction preferred any client between two requests, at any age, to a newcomer that never sent a byte.

Change: newcomers silent for 0.25 s go first, and from 5 ms on before a client just served; one that has sent several commands is not evicted while it rests for less than 0.25 s. Clients that ask once and stay make room as before.

--- a/pebblepass/connection_limits/eviction.py
+++ b/pebblepass/connection_limits/eviction.py
@@ -12,6 +12,8 @@
 """Maximum pause between two pieces of a command from a slow but live client."""
 NEW_CONNECTION_GRACE_S = 0.005
 """Time from the start of a connection to its first byte, for a client that has a request to send."""
+SILENT_CONNECTION_S = 0.25
+"""Time after which a connection without a byte has no request to send, even if its host is busy."""
 
 T = TypeVar("T")
 
@@ -21,25 +23,29 @@
 
     NEW = "no command received yet"
     PARTIAL_COMMAND = "a command partially received, no reply pending"
-    IDLE = "between two commands"
+    IDLE = "idle after its only command so far"
+    RECURRING = "between two commands, after several"
     REPLY_PENDING = "waiting for a reply"
 
 
 # In order: the first activity with a connection that has been inactive for at least the grace period applies,
-# and its longest inactive connection is evicted. An idle client may be about to send its next request; one
-# that pauses in the middle of a command has usually stopped.
+# and its longest inactive connection is evicted. A client that sends one command after another is about to
+# send the next, which would meet a closed connection: it is not evicted while it goes on. One that pauses in
+# the middle of a command has usually stopped.
 _EVICTION_ORDER = (
+    (Activity.NEW, SILENT_CONNECTION_S),
     (Activity.IDLE, IDLE_GRACE_S),
+    (Activity.RECURRING, IDLE_GRACE_S),
     (Activity.PARTIAL_COMMAND, PARTIAL_COMMAND_GRACE_S),
-    (Activity.IDLE, 0.0),
     (Activity.NEW, NEW_CONNECTION_GRACE_S),
+    (Activity.IDLE, 0.0),
 )
 
 
 def choose_eviction(connections: Iterable[tuple[T, Activity, float]]) -> T | None:
     """Return the connection to evict; `connections`: each with its activity and its seconds of inactivity.
 
-    Returns None if each is waiting for a reply or was active just now.
+    Returns None if each is waiting for a reply, or was active just now after several commands or none.
     """
     longest: dict[Activity, tuple[float, T]] = {}
     for connection, activity, inactive_s in connections:
--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -91,7 +91,7 @@
         self._reserved = 0  # bytes of the memory budget, for the command being received
         # The timeout of the first command starts when the connection is accepted.
         self.command_started_at = self.last_used_at
-        self.has_sent_command = False
+        self.has_sent_command = self._has_sent_several = False
         self._awaits_budget = False
         self._closes_when_idle = False  # no further command is expected
         self._draining = False  # it closes for the router's shutdown, once it has nothing open
@@ -162,7 +162,9 @@
             # several.
             self.abort()
             return
-        self.has_sent_command = self.has_sent_command or bool(commands)
+        if commands:
+            self._has_sent_several = self.has_sent_command or len(commands) > 1
+            self.has_sent_command = True
         for words in commands:
             reply = Reply(self)
             reply.reserved, self._reserved = self._reserved, 0
@@ -349,6 +351,8 @@
             return Activity.REPLY_PENDING
         if self.reader.needed_bytes:
             return Activity.PARTIAL_COMMAND
+        if self._has_sent_several:
+            return Activity.RECURRING
         return Activity.IDLE if self.has_sent_command else Activity.NEW
 
     def finish(self, with_partial_commands: bool) -> None:
@@ -381,7 +385,7 @@
 
     def _restore(self, state: ConnectionState) -> None:
         """Restore the state that another process has handed over."""
-        self.has_sent_command = state.has_sent_command
+        self.has_sent_command = self._has_sent_several = state.has_sent_command
         if state.protocol:
             from pebblepass.daemon.session_commands import ClientSession
 
