Warn at the start if hardly any client can be served

Need: a voter of 1,100 routers with 1,024 descriptors has four places for clients and said nothing (docs/ROADMAP.md, "Left of sizes").

Change: Allocation.warning is one line below 16 places; the daemon logs it at the start, with the number of descriptors that are taken.

Measured: tests/connection_limits 39 passed, one of them new; without the property it can't pass. No process of that size was run.

--- a/pebblepass/connection_limits/descriptors.py
+++ b/pebblepass/connection_limits/descriptors.py
@@ -28,6 +28,8 @@
 """Maximum number of client connections beyond the limit, whose commands are rejected."""
 REJECTED_FRACTION = 0.125
 """Maximum fraction of the client connections that is for rejected ones; see MAX_REJECTED_CONNECTIONS."""
+FEW_SERVED_CONNECTIONS = 16
+"""With fewer places for clients than this, an operator is warned at the start."""
 MIN_CONNECTIONS = 8
 """For clients and servers together, however few descriptors there are."""
 
@@ -44,6 +46,16 @@
     servers: int
     """Connections to cache servers and the origin, and dials in progress."""
 
+    @property
+    def warning(self) -> str:
+        """One line for the operator if hardly any client can be served; empty otherwise."""
+        if self.served >= FEW_SERVED_CONNECTIONS:
+            return ""
+        return (
+            f"only {self.served} clients can be served at a time, as the process, operators' calls,"
+            f" accounting and the fleet take {self.own} descriptors: raise limits.sockets"
+        )
+
 
 def caller_limit(limit: int, maximum: int) -> int:
     """Return the connections for callers that may be idle: `maximum`, or half if descriptors are few."""
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -85,6 +85,8 @@
         self._allocation = allocate(
             config.sockets, own_descriptors(self._control_limit, inherited, reserved_descriptors)
         )
+        if self._allocation.warning:
+            log.warning("%s", self._allocation.warning)
         dial_timeout, idle_close = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
         reports = bool(config.settings.load_fields)
         value_memory = int(config.memory * VALUE_MEMORY_SHARE)
--- a/tests/connection_limits/test_descriptors.py
+++ b/tests/connection_limits/test_descriptors.py
@@ -148,3 +148,14 @@
         > limit
     )
     assert accounting_descriptors(0, writes=False, posts=False) == 0
+
+
+def test_operator_is_warned_when_hardly_any_client_can_be_served() -> None:
+    """Guards against a voter of a large fleet that has four places for clients and says nothing."""
+    voter = own_descriptors(16, True, fleet_descriptors(3, 1100, MAX_UNIDENTIFIED, writes=True))
+    allocation = allocate(1024, voter)
+    assert allocation.served == 4
+    assert allocation.warning.startswith("only 4 clients can be served at a time, ")
+    assert "\n" not in allocation.warning
+    member = own_descriptors(16, True, fleet_descriptors(3, 0, MAX_UNIDENTIFIED, writes=True))
+    assert allocate(256, member).warning == ""
