Add a seeded soak of router processes with its checks

Change: tests/soak/run.py plays a real process with cache servers that hang or answer late, clients with pipelines and short deadlines until the end, SIGTERM, SIGHUP and SIGTERM 0 to 0.3 s apart, crowds of silent connections, SIGKILL at the platform's earliest. history.py checks both sides' records: one answer in time, none lost, no attempt after the answer, no effect twice, exit code, log, descriptors, figures.

Not in it: a successor, an upgrade, long values, memory.

--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,317 @@
+"""Runs a soak: real router processes with scripted servers, drawn from a seed.
+
+    python -m tests.soak.run FIRST_SEED LAST_SEED
+
+Prints a line for each seed and the broken rules, and exits with 1 if there are any.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+from pebblepass.emulators.ports import take_port
+from tests.processes import kill_process
+from tests.soak.history import Attempt, History, Request, broken_rules
+from tests.sockets import (
+    SETTINGS,
+    WAIT_TIMEOUT_S,
+    DiscoveryPeer,
+    Peer,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    is_ready,
+    put,
+    start_router,
+)
+
+DESCRIPTORS = 256
+LONGEST_DEADLINE_S = 2.0
+KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # from SIGTERM; the platform kills no earlier
+RECEIVE_TIMEOUT_S = 5.0  # of a client, longer than any request takes
+OBSERVER_PERIOD_S = 0.01
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a seed draws."""
+
+    clients: int
+    crowd: int
+    """Connections that send nothing; 0 in runs without a crowd."""
+    load_s: float
+    """Time from the first request to SIGTERM."""
+    signal_gaps_s: tuple[float, float]
+    """Between SIGTERM, SIGHUP and the second SIGTERM."""
+    hang_share: float
+    """Fraction of the requests to the first cache server that it never answers."""
+    late_s: float
+    """Maximum delay of the second cache server."""
+
+
+def make_plan(seed: int) -> Plan:
+    """Draw a plan."""
+    rng = random.Random(seed)
+    return Plan(
+        clients=rng.randint(4, 12),
+        crowd=rng.choice((0, 0, 200, 300)),
+        load_s=rng.uniform(0.3, 1.0),
+        signal_gaps_s=(rng.uniform(0, 0.3), rng.uniform(0, 0.3)),
+        hang_share=rng.choice((0.0, 0.05, 0.3)),
+        late_s=rng.choice((0.0, 0.02, 0.3)),
+    )
+
+
+class ReplyStream:
+    """Splits received bytes into replies; keeps those that were received before a reset."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._connection, self._buffer = connection, b""
+
+    def next_reply(self) -> bytes | None:
+        """Return the value or the line of the next reply; None at the end of the stream."""
+        while (reply := self._take()) is None:
+            try:
+                data = self._connection.recv(1 << 16)
+            except OSError:
+                return None
+            if not data:
+                return None
+            self._buffer += data
+        return reply
+
+    def _take(self) -> bytes | None:
+        line, end, rest = self._buffer.partition(b"\r\n")
+        if not end:
+            return None
+        if not line.startswith(b"$") or line == b"$-1":
+            self._buffer = rest
+            return line
+        size = int(line[1:])
+        if len(rest) < size + 2:
+            return None
+        self._buffer = rest[size + 2 :]
+        return rest[:size]
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.seed, self.plan, self._folder = seed, make_plan(seed), folder
+        self.history = History(descriptor_limit=DESCRIPTORS)
+        self._lock, self._stopped = threading.Lock(), threading.Event()
+        self._rng = random.Random(seed)
+        self._port = 0
+
+    def run(self) -> History:
+        """Run it, and return what was observed."""
+        caches = {"hangs": Peer(self._hang_or_answer), "late": Peer(self._answer_late)}
+        origin = Peer(self._serve_origin, is_http=True)
+        listed = [entry(peer, name) for name, peer in caches.items()]
+        discovery = DiscoveryPeer([*listed, entry(origin, "origin", "origin")])
+        process = self._start(discovery)
+        try:
+            eventually(lambda: is_ready(self._port) or process.poll() is not None, "the router is ready")
+            self._load_and_end(process)
+        finally:
+            self._stopped.set()
+            kill_process(process)
+            for peer in (*caches.values(), origin, discovery.peer):
+                peer.close()
+        self.history.log = (self._folder / "log").read_text()
+        figures = self._folder / "n1.figures.json"
+        if figures.exists():
+            self.history.figures = json.loads(figures.read_text())["figures"]
+        return self.history
+
+    def _start(self, discovery: DiscoveryPeer) -> subprocess.Popen[str]:
+        self._port = take_port()
+        operator = self._folder / "operator.toml"
+        operator.write_text(f'[figures]\ndirectory = "{self._folder}"\nsnapshot_every_s = 1\n')
+        config = {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self._port}",
+            "discovery": f"127.0.0.1:{discovery.peer.port}",
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": DESCRIPTORS},
+            "settings": SETTINGS,
+        }
+        return start_router(self._folder, config, PEBBLEPASS_OPERATOR=str(operator))
+
+    def _load_and_end(self, process: subprocess.Popen[str]) -> None:
+        log = threading.Thread(target=self._copy_log, args=(process,))
+        workers = [threading.Thread(target=self._run_client, args=(n,)) for n in range(self.plan.clients)]
+        workers.append(threading.Thread(target=self._observe, args=(process,)))
+        for thread in (log, *workers):
+            thread.start()
+        self._stopped.wait(self.plan.load_s)
+        crowd = self._connect_crowd()
+        terminated_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        for gap_s, number in zip(self.plan.signal_gaps_s, (signal.SIGHUP, signal.SIGTERM), strict=True):
+            self._stopped.wait(gap_s)
+            process.send_signal(number)
+        try:
+            process.wait(terminated_at + KILL_AFTER_S - time.monotonic())
+        except subprocess.TimeoutExpired:
+            self.history.was_killed = True
+            process.kill()
+        self.history.exit_code = process.wait(WAIT_TIMEOUT_S)
+        self._stopped.set()
+        for thread in (*workers, log):
+            thread.join(WAIT_TIMEOUT_S)
+        for connection in crowd:
+            connection.close()
+
+    def _copy_log(self, process: subprocess.Popen[str]) -> None:
+        assert process.stderr is not None
+        with (self._folder / "log").open("w") as file:
+            for line in process.stderr:
+                file.write(line)
+
+    def _observe(self, process: subprocess.Popen[str]) -> None:
+        """Count the process's descriptors, and measure how late this process runs."""
+        while not self._stopped.is_set():
+            due = time.monotonic() + OBSERVER_PERIOD_S
+            self._stopped.wait(OBSERVER_PERIOD_S)
+            delay_s = time.monotonic() - due
+            with suppress(OSError):
+                count = len(os.listdir(f"/proc/{process.pid}/fd"))
+                self.history.max_descriptors = max(self.history.max_descriptors, count)
+            self.history.observer_delay_s = max(self.history.observer_delay_s, delay_s)
+
+    def _connect_crowd(self) -> list[socket.socket]:
+        crowd = []
+        for _ in range(self.plan.crowd):
+            with suppress(OSError):
+                crowd.append(socket.create_connection(("127.0.0.1", self._port), RECEIVE_TIMEOUT_S))
+        return crowd
+
+    # Servers
+
+    def _record_attempt(self, request_id: bytes) -> float:
+        """Record an attempt; return a random number from 0 to 1 for what its server does."""
+        with self._lock:
+            self.history.attempts.append(Attempt(request_id.decode(), time.monotonic()))
+            return self._rng.random()
+
+    def _hang_or_answer(self, _: socket.socket, words: list[bytes]) -> bytes | None:
+        draw = self._record_attempt(words[2])
+        return None if draw < self.plan.hang_share else hit(words[2])
+
+    def _answer_late(self, _: socket.socket, words: list[bytes]) -> bytes:
+        draw = self._record_attempt(words[2])
+        self._stopped.wait(draw * self.plan.late_s)
+        return hit(words[2])
+
+    def _serve_origin(self, _: socket.socket, message: list[bytes]) -> bytes:
+        headers = dict(line.split(b": ", 1) for line in message[2].splitlines() if b": " in line)
+        request_id = headers.get(b"Request-Id", b"")
+        if request_id:
+            self._record_attempt(request_id)
+        if request_id.startswith(b"once"):
+            with self._lock:
+                self.history.executed_writes[request_id.decode()] += 1
+        return http_answer(200, request_id or b"v")
+
+    # Clients
+
+    def _run_client(self, number: int) -> None:
+        rng, count = random.Random(f"{self.seed}.{number}"), 0
+        while not self._stopped.is_set():
+            try:
+                connection = socket.create_connection(("127.0.0.1", self._port), RECEIVE_TIMEOUT_S)
+            except OSError:
+                self._stopped.wait(OBSERVER_PERIOD_S)
+                continue
+            with connection:
+                goes_on = True
+                while goes_on and not self._stopped.is_set():
+                    batch, data = self._draw_batch(rng, number, count)
+                    count += len(batch)
+                    goes_on = self._send_batch(connection, batch, data, leaves=rng.random() < 0.03)
+                    self._stopped.wait(rng.uniform(0, 0.05))
+
+    def _draw_batch(self, rng: random.Random, client: int, count: int) -> tuple[list[Request], bytes]:
+        """Draw a batch of one to four pipelined requests, each due relative to when it is sent."""
+        batch, data = [], b""
+        for offset in range(rng.choice((1, 1, 2, 4))):
+            request_class = rng.choice(("get", "get", "get", "put", "once"))
+            timeout_ms = rng.choice((5, 50, 300, 900))
+            request_id = f"{request_class}-{client}.{count + offset}"
+            batch.append(Request(request_id, request_class, timeout_ms / 1000))
+            if request_class == "get":
+                data += get(request_id, f"k{rng.randrange(20)}", timeout_ms)
+            else:
+                data += put(request_id, cls=request_class, d=timeout_ms)
+        return batch, data
+
+    def _send_batch(self, connection: socket.socket, batch: list[Request], data: bytes, leaves: bool) -> bool:
+        """Send a batch and wait for its answers; return whether the connection can still be used."""
+        due_at = sent_at = time.monotonic()
+        for request in batch:
+            due_at = max(due_at, sent_at + request.due_at)
+            request.due_at, request.client_left = due_at, leaves
+        with self._lock:
+            self.history.requests.update((request.id, request) for request in batch)
+        replies = ReplyStream(connection)
+        try:
+            connection.sendall(data)
+        except OSError:
+            leaves = False  # answers may have been received before the connection was closed
+        if leaves:
+            return False
+        outstanding = deque(batch)
+        while outstanding:
+            reply = replies.next_reply()
+            if reply is None:
+                return False
+            request = outstanding.popleft()
+            request.answer, request.answered_at = reply, time.monotonic()
+            if not reply.startswith((b"-", b"$")) and reply != request.id.encode():
+                self.history.unexpected_replies.append(reply)
+        return True
+
+
+def run_soak(seed: int) -> History:
+    """Run one soak in a folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        return Soak(seed, Path(folder)).run()
+
+
+def main(arguments: list[str], show: Callable[[str], None] = print) -> int:
+    """Run the seeds from the first to the last; return the exit code."""
+    first, last = map(int, arguments)
+    total = broken_seeds = 0
+    for seed in range(first, last + 1):
+        history = run_soak(seed)
+        broken = broken_rules(history)
+        answered = sum(request.answer is not None for request in history.requests.values())
+        total += len(history.requests)
+        broken_seeds += bool(broken)
+        show(
+            f"seed {seed}: {len(history.requests)} requests, {answered} answered,"
+            f" exit code {history.exit_code}, {broken or 'no rule broken'}"
+        )
+    show(f"{last - first + 1} seeds, {total} requests, {broken_seeds} seeds with broken rules")
+    return 1 if broken_seeds else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,24 @@
+"""A short soak: some seeds of what `python -m tests.soak.run` plays by hand over many."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.soak.history import broken_rules
+from tests.soak.run import make_plan, run_soak
+
+SEEDS = range(1, 17)
+
+
+def test_the_seeds_draw_runs_with_and_without_a_crowd_and_hanging_servers() -> None:
+    plans = [make_plan(seed) for seed in SEEDS]
+    assert {bool(plan.crowd) for plan in plans} == {False, True}
+    assert {bool(plan.hang_share) for plan in plans} == {False, True}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_until_the_exit(seed: int) -> None:
+    history = run_soak(seed)
+    assert broken_rules(history) == []
+    assert history.requests
+    assert history.figures or history.was_killed
