Divide the virtual clock's module: the simulated network stands by itself

Change: simulation/network.py has the sockets, the listeners and their errors; simulation/clock.py the selector and the loop. Moved, not changed.

--- a/pebblepass/simulation/runner.py
+++ b/pebblepass/simulation/runner.py
@@ -15,9 +15,10 @@
 from pebblepass.daemon.loop import DaemonLoop
 from pebblepass.emulators.listeners import LOOPBACK, SetAddressSilent, leave_address_reachable
 from pebblepass.emulators.ports import take_port
-from pebblepass.simulation.clock import DeliveryError, VirtualLoop
+from pebblepass.simulation.clock import VirtualLoop
 from pebblepass.simulation.emulated_services import EmulatedServices, platform_settings
 from pebblepass.simulation.load_generator import LoadGenerator
+from pebblepass.simulation.network import DeliveryError
 from pebblepass.simulation.plan import FaultEvent, Plan, Streams
 from pebblepass.simulation.recovery import Recorder
 from pebblepass.simulation.report import Series, build_report
--- a/tests/daemon/test_rolling_restart.py
+++ b/tests/daemon/test_rolling_restart.py
@@ -21,7 +21,7 @@
 from pebblepass.daemon.client_connection import ClientConnection
 from pebblepass.daemon.config import read_config
 from pebblepass.daemon.daemon import Daemon
-from pebblepass.simulation.clock import CountedSocket
+from pebblepass.simulation.network import CountedSocket
 from tests.sockets import SETTINGS
 from tests.virtual_router import (
     ADDRESS,
--- a/tests/simulation/test_clock.py
+++ b/tests/simulation/test_clock.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from pebblepass.simulation.clock import START_S, WINDOW, DeliveryError, StalledError, VirtualLoop
+from pebblepass.simulation.clock import START_S, StalledError, VirtualLoop
+from pebblepass.simulation.network import WINDOW, DeliveryError
 from tests.virtual import run_virtual
 
 HOST = "127.0.0.1"
--- a/tests/simulation/test_rehearsal.py
+++ b/tests/simulation/test_rehearsal.py
@@ -26,7 +26,7 @@
 from pebblepass.discovery.endpoint_list import EndpointList
 from pebblepass.emulators.ports import BLOCK_SIZE, FIRST_PORT, PortBlock
 from pebblepass.simulation import runner
-from pebblepass.simulation.clock import CountedSocket, Network
+from pebblepass.simulation.network import CountedSocket, Network
 from pebblepass.simulation.plan import make_plan
 from pebblepass.simulation.report import as_json, compare, verdict
 from pebblepass.simulation.request_counts import OUTCOMES
