Free descriptors at a lower connection limit, whoever holds them

Need: since no client that goes on is evicted, also when the limit falls as two processes begin to share one router's descriptors; both together could then hold more than one router may (read, not seen).

Change: choose_eviction takes `limit_is_lower`; clients that go on come last in its order then.

Measured: the new test of a limit that falls by five among clients that go on fails on the code before (none closed) and passes now; crowd, limits and upgrades: 55 passed.

--- a/pebblepass/connection_limits/eviction.py
+++ b/pebblepass/connection_limits/eviction.py
@@ -40,19 +40,24 @@
     (Activity.NEW, NEW_CONNECTION_GRACE_S),
     (Activity.IDLE, 0.0),
 )
+# When the limit falls, descriptors have to be freed: clients that go on are evicted after all others.
+_ORDER_AT_A_LOWER_LIMIT = (*_EVICTION_ORDER, (Activity.RECURRING, 0.0))
 
 
-def choose_eviction(connections: Iterable[tuple[T, Activity, float]]) -> T | None:
+def choose_eviction(
+    connections: Iterable[tuple[T, Activity, float]], limit_is_lower: bool = False
+) -> T | None:
     """Return the connection to evict; `connections`: each with its activity and its seconds of inactivity.
 
-    Returns None if each is waiting for a reply, or was active just now after several commands or none.
+    `limit_is_lower`: whether the connection limit has fallen; else the eviction is for a newcomer. Returns
+    None if each is waiting for a reply, or was active just now after several commands or none.
     """
     longest: dict[Activity, tuple[float, T]] = {}
     for connection, activity, inactive_s in connections:
         known = longest.get(activity)
         if known is None or inactive_s > known[0]:
             longest[activity] = inactive_s, connection
-    for activity, grace_s in _EVICTION_ORDER:
+    for activity, grace_s in _ORDER_AT_A_LOWER_LIMIT if limit_is_lower else _EVICTION_ORDER:
         if activity in longest and longest[activity][0] >= grace_s:
             return longest[activity][1]
     return None
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -73,16 +73,19 @@
     @limit.setter
     def limit(self, limit: int) -> None:
         self._limit = limit
-        while len(self._connections) > limit and (evicted := self._eviction_candidate()) is not None:
+        while len(self._connections) > limit and (evicted := self._eviction_candidate(True)) is not None:
             evicted.abort()
 
-    def _eviction_candidate(self) -> ClientConnection | None:
-        """Return the connection to evict for a new one, if any; never one that has unread bytes."""
+    def _eviction_candidate(self, limit_is_lower: bool = False) -> ClientConnection | None:
+        """Return the connection to evict for a newcomer or a lower limit; never one with unread bytes."""
         now = self.loop.time()
         for _ in range(MAX_EVICTION_CHECKS):
             candidate = choose_eviction(
-                (connection, connection.activity, now - connection.last_used_at)
-                for connection in self._connections
+                (
+                    (connection, connection.activity, now - connection.last_used_at)
+                    for connection in self._connections
+                ),
+                limit_is_lower,
             )
             if candidate is None or not candidate.has_unread():
                 return candidate
--- a/tests/daemon/test_crowd.py
+++ b/tests/daemon/test_crowd.py
@@ -60,3 +60,24 @@
             client.transport.close()
 
     run_with_router(test, sockets=100)
+
+
+def test_lower_limit_closes_as_many_clients_that_go_on_as_it_must() -> None:
+    """Guards against two processes of an upgrade that together exceed the descriptors of one."""
+
+    async def test(harness: RouterHarness) -> None:
+        cache, server = harness.caches["a"], harness.daemon.clients
+        cache.on_request, harness.origin.on_request = cache.serve, harness.origin.serve
+        clients = [await harness.client() for _ in range(server.limit)]
+        for turn in range(2):
+            for number, client in enumerate(clients):
+                client.send_request(f"q{number}.{turn}")
+            await harness.wait(REST_S)
+        server.limit -= 5
+        await harness.settle()
+        assert sum(client.closed for client in clients) == 5
+        assert server.connected == server.limit
+        for client in clients:
+            client.transport.close()
+
+    run_with_router(test, sockets=100)
