Test resting connections in virtual time

The test is wrong, not the pool: the machine was late and the rest was over.

Change: run_with_pool can run on the virtual loop, where no time passes between the answers and the assertions. What is asserted is unchanged.

--- a/tests/daemon/test_connection_pool.py
+++ b/tests/daemon/test_connection_pool.py
@@ -94,7 +94,10 @@
 
 
 def run_with_pool(
-    test: Callable[[PoolHarness], Awaitable[None]], is_http: bool = False, port: int = 0
+    test: Callable[[PoolHarness], Awaitable[None]],
+    is_http: bool = False,
+    port: int = 0,
+    in_virtual_time: bool = False,
 ) -> None:
     """Run a test over a pool with one server; if a port is given, nothing listens there."""
 
@@ -115,7 +118,10 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(wait_until(lambda: not harness.open_connections, "closed"), 1.0)
 
-    asyncio.run(run())
+    if in_virtual_time:
+        run_virtual(lambda _: run())
+    else:
+        asyncio.run(run())
 
 
 async def wait_until(check: Callable[[], bool], description: str) -> None:
@@ -348,4 +354,4 @@
             await exchange.result()
         assert (pool.needed_connections, pool.exchange_count) == (0, 0)
 
-    run_with_pool(test)
+    run_with_pool(test, in_virtual_time=True)
