--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A planned restart while a class has a deadline of 4 s: SIGTERM, and SIGKILL 3.7 s later.
+"""Clients send many commands at once, the first of which is a write that the store answers slowly.
 
-The disruption is the restart. With TROUBLE=0 the same requests come and no signal is sent.
+The disruption is that the commands come at once. With TROUBLE=0 the same clients send the same commands one
+after another, each after the answer to the one before it.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -20,10 +22,12 @@
     SECOND,
     TROUBLE,
     CacheServer,
+    CaseError,
     Discovery,
     Record,
     Router,
     Store,
+    get,
     hit,
     instance,
     put,
@@ -32,112 +36,124 @@
     settings,
 )
 
-DEADLINE_S = 4.0  # of the class: deadline_ms of emergency-credit in irbid-prepaid.toml
-LONGEST_S, KILL_SLACK_S = 3.0, 0.7  # SIGKILL: the longest deadline, 3 s at most, and 0.7 s after SIGTERM
-STORE_S = 3.85  # for which the store works on a write
-BEFORE_SIGTERM_S = 0.1  # the first request is sent so long before SIGTERM
-AFTER_SIGTERM_S = 1.0  # the second one so long after it, on the same connection
-LATE_S = 0.5  # after its time an answer only earns nothing; then the request is lost
+MEMORY_MB = 192  # the most that the pages give a router; they have 32 to 192
+CLIENTS, READS = 16, 250  # reads that each client sends behind its write
+VALUE_BYTES = 64_000  # the pages allow 64 KiB
+STORE_S = 1.5  # for which the store works on a write
+DEADLINE_MS = 3000
+ANSWER_TIMEOUT_S = 20.0  # far beyond the deadline
+SAMPLE_S = 0.005  # between two looks at the router's memory
+SERVERS = 6
 CLASSES: list[dict[str, Any]] = [
     {
         "name": "balance-read",
         "aimNs": 750 * MS,
-        "giveUpNs": 1500 * MS,
+        "giveUpNs": 3 * SECOND,
         "semantics": "retryable",
         "group": "all",
-        "dedupWindowNs": 20 * SECOND,
+        "dedupWindowNs": 5 * SECOND,
     },
     {
-        "name": "emergency-credit",
-        "aimNs": SECOND,
-        "giveUpNs": 4 * SECOND,
+        "name": "top-up",
+        "aimNs": 1200 * MS,
+        "giveUpNs": 3 * SECOND,
         "semantics": "dedup",
         "group": "all",
-        "dedupWindowNs": 20 * SECOND,
+        "dedupWindowNs": 6 * SECOND,
     },
 ]
 
 
-class Client:
-    """A client with one connection, on which it sends two writes."""
-
-    def __init__(self, record: Record, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._record, self._reader, self._writer = record, reader, writer
-        self._sent_at: list[float] = []
-        self.lost: list[str] = []
-
-    def send(self, request_id: str) -> None:
-        self._record.line(f"client: sends {request_id}")
-        self._writer.write(
-            put(f"key-of-{request_id}", request_id, "emergency-credit", int(DEADLINE_S * 1000), b"5")
-        )
-        self._sent_at.append(time.monotonic())
-
-    async def read(self, request_id: str) -> None:
-        """Read the answers in the order of the requests; `lost` names those that get none."""
-        sent_at = self._sent_at.pop(0)
+class Platform:
+    """Kills the router once it uses more memory than it has."""
+
+    def __init__(self, router: Router, record: Record) -> None:
+        self._router, self._record = router, record
+        self.peak_mb = 0.0
+        self.has_killed = False
+
+    async def watch(self) -> None:
+        while not self.has_killed:
+            used_mb = self._router.memory_mb()
+            self.peak_mb = max(self.peak_mb, used_mb)
+            if used_mb > MEMORY_MB:
+                self._record.line(f"platform: the router uses {used_mb:.0f} MB of {MEMORY_MB}")
+                self._router.send_signal(signal.SIGKILL)
+                self.has_killed = True
+            await asyncio.sleep(SAMPLE_S)
+
+
+async def play_client(number: int, router: Router, record: Record, counts: Counter[str]) -> None:
+    write = put(f"w{number}", f"w{number}", "top-up", DEADLINE_MS, b"value")
+    reads = [get(f"k{number}-{n}", f"r{number}-{n}", "balance-read", DEADLINE_MS) for n in range(READS)]
+    reader, writer = await asyncio.open_connection(HOST, router.port)
+    commands = [write, *reads]
+    if TROUBLE:
+        record.line(f"client {number}: sends {len(commands)} commands at once")
+        writer.write(b"".join(commands))
+    for index, command in enumerate(commands):
         try:
-            async with asyncio.timeout(DEADLINE_S + LATE_S + sent_at - time.monotonic()):
-                reply = await read_reply(self._reader)
-            self._record.line(f"client: {request_id} got {reply!r} after {time.monotonic() - sent_at:.2f} s")
+            if not TROUBLE:
+                writer.write(command)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reply = await read_reply(reader)
         except (OSError, EOFError) as error:
-            after_s = time.monotonic() - sent_at
-            self._record.line(f"client: {request_id} is lost: {type(error).__name__} after {after_s:.2f} s")
-            self.lost.append(request_id)
+            counts["never answered"] += len(commands) - index
+            record.line(f"client {number}: {type(error).__name__} after {index} answers: {error}")
+            break
+        counts["served" if reply.startswith(b"$") else "refused or failed"] += 1
+    record.line(f"client {number}: is done")
+    writer.close()
 
 
-async def platform(router: Router, record: Record) -> None:
-    """The planned restart."""
-    router.send_signal(signal.SIGTERM)
-    end = time.monotonic() + LONGEST_S + KILL_SLACK_S
-    while router.process.poll() is None and time.monotonic() < end:
-        await asyncio.sleep(0.005)
-    if router.process.poll() is None:
-        router.send_signal(signal.SIGKILL)
-    else:
-        record.line(f"the router has ended with exit code {router.process.returncode}")
+async def case(record: Record, folder: str) -> int:
+    counts = Counter[str]()
 
+    def read(words: list[bytes]) -> bytes:
+        if words[0] != b"KV.GET":
+            return b"+PONG\r\n"
+        counts["run at cache servers"] += 1
+        return hit(words[2].ljust(VALUE_BYTES, b"."))
 
-async def case(record: Record, folder: str) -> int:
     async def write(method: str, target: str, headers: dict[str, str], body: bytes) -> bytes:
-        record.line(f"store: {method} {target} begins ({headers['request-info']})")
+        record.line(f"store: {method} {target} begins")
         await asyncio.sleep(STORE_S)
         record.line(f"store: {method} {target} has run, answers")
         return b"receipt"
 
-    cache, store = (
-        CacheServer(lambda words: hit(b"value") if words[0] == b"KV.GET" else b"+PONG\r\n"),
-        Store(write),
-    )
-    await cache.start()
-    await store.start()
-    discovery = Discovery([instance("s0", cache.port), instance("store", store.port, "origin")])
+    servers, store = [CacheServer(read) for _ in range(SERVERS)], Store(write)
+    for listener in (*servers, store):
+        await listener.start()
+    instances = [instance(f"s{number}", server.port) for number, server in enumerate(servers)]
+    discovery = Discovery([*instances, instance("store", store.port, "origin")])
     await discovery.start()
     config = {
         "discovery": f"{HOST}:{discovery.port}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
         "known": {"generation": 1, "reset": True, "instances": discovery.instances},
         "settings": settings(CLASSES),
     }
     router = Router(record, folder, config)
+    platform = Platform(router, record)
     try:
         await router.ready()
-        await asyncio.sleep(2.0)  # the platform sends no signal in the first seconds
-        client = Client(record, *await asyncio.open_connection(HOST, router.port))
-        client.send("first")
-        await asyncio.sleep(BEFORE_SIGTERM_S)
-        restart = asyncio.create_task(platform(router, record)) if TROUBLE else None
-        await asyncio.sleep(AFTER_SIGTERM_S)
-        client.send("second")
-        await client.read("first")
-        await client.read("second")
-        if restart is not None:
-            await restart
+        await asyncio.sleep(0.5)
+        record.line(f"the router uses {router.memory_mb():.0f} MB before the first request")
+        watch = asyncio.create_task(platform.watch())
+        began_at = time.monotonic()
+        await asyncio.gather(*(play_client(number, router, record, counts) for number in range(CLIENTS)))
+        record.line(f"all clients are done after {time.monotonic() - began_at:.1f} s")
+        watch.cancel()
+        has_ended = router.process.poll() is not None
     finally:
         router.close()
-        for listener in (cache, store, discovery):
+        for listener in (*servers, store, discovery):
             listener.close()
-    return BROKEN if client.lost else HELD
+    record.line(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
+    record.line(f"peak memory of the router: {platform.peak_mb:.0f} MB of {MEMORY_MB}")
+    if not counts["run at cache servers"]:
+        raise CaseError("no read reached a cache server")
+    return BROKEN if platform.has_killed or has_ended or counts["never answered"] else HELD
 
 
 if __name__ == "__main__":
