--- a/review/3/case.py
+++ b/review/3/case.py
@@ -89,11 +89,12 @@
     reader, writer = await asyncio.open_connection(HOST, router.port)
     commands = [write, *reads]
     if TROUBLE:
-        record.line(f"client {number}: sends {len(commands)} commands at once")
+        record.line(f"client {number}: sends w{number} and r{number}-0 to r{number}-{READS - 1} at once")
         writer.write(b"".join(commands))
     for index, command in enumerate(commands):
         try:
             if not TROUBLE:
+                record.line(f"client {number}: sends its command {index}")
                 writer.write(command)
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 reply = await read_reply(reader)
@@ -102,6 +103,7 @@
             record.line(f"client {number}: {type(error).__name__} after {index} answers: {error}")
             break
         counts["served" if reply.startswith(b"$") else "refused or failed"] += 1
+        record.line(f"client {number}: command {index} got {reply[:30].decode()!r}")
     record.line(f"client {number}: is done")
     writer.close()
 
@@ -113,6 +115,7 @@
         if words[0] != b"KV.GET":
             return b"+PONG\r\n"
         counts["run at cache servers"] += 1
+        record.line(f"cache server: ran {words[2].decode()}")
         return hit(words[2].ljust(VALUE_BYTES, b"."))
 
     async def write(method: str, target: str, headers: dict[str, str], body: bytes) -> bytes:
