Figures of memory, of what clients wait for, and why connections close

Change: a warning with all figures once the resident memory is over 0.9 of limits.memory_mb (every 5 s at most); GET /control/diagnostics with the same figures and the closed connections by reason; at the log level debug the id, attempt and reason of each rejection, retry, drop and unsuccessful end; the line of an unfinished command tells how much of it was received.

--- a/pebblepass/control/control_server.py
+++ b/pebblepass/control/control_server.py
@@ -1,4 +1,7 @@
-"""The platform's control address: `/control/ready` and `/control/counters`, one request per connection."""
+"""The platform's control address, one request per connection.
+
+`/control/ready` and `/control/counters` are the platform's; `/control/diagnostics` is for whoever is on call.
+"""
 
 from __future__ import annotations
 
@@ -31,6 +34,8 @@
     counters: Callable[[], list[str]]
     fleet: Callable[[str, str, bytes], Awaitable[Page | None]] | None = None
     """Responds to a request about the fleet, given its method, path and body; None: it is no such request."""
+    diagnostics: Callable[[], list[str]] | None = None
+    """Returns what memory is in use, and why connections were closed; None: there is no such page."""
 
 
 class ControlServer:
@@ -59,10 +64,15 @@
             page = await self._sources.fleet(method, path, connection.body)
             if page is not None:
                 return page
-        if path not in ("/control/ready", "/control/counters"):
+        pages = {
+            "/control/counters": self._sources.counters,
+            "/control/diagnostics": self._sources.diagnostics,
+        }
+        lines = pages.get(path)
+        if lines is None and path != "/control/ready":
             return Page(404, b"no such call\n")
         if method != "GET":
             return Page(405, b"GET only\n")
-        if path == "/control/counters":
-            return Page(200, "".join(f"{line}\n" for line in self._sources.counters()).encode())
+        if lines is not None:
+            return Page(200, "".join(f"{line}\n" for line in lines()).encode())
         return Page(200, b"ready\n") if self._sources.ready() else Page(503, b"not ready\n")
--- a/pebblepass/daemon/buffer_budget.py
+++ b/pebblepass/daemon/buffer_budget.py
@@ -4,6 +4,8 @@
 
 from typing import Protocol
 
+from pebblepass.daemon.memory_monitor import MemoryUse
+
 
 class BufferingConnection(Protocol):
     """A connection that buffers a value."""
@@ -24,7 +26,7 @@
 
     def __init__(self, total: int, longest: int) -> None:
         """`total` and `longest`, the length of the longest value, are in bytes."""
-        self._shared = max(total - longest, 0)
+        self._shared, self._longest = max(total - longest, 0), longest
         self._used: dict[BufferingConnection, int] = {}
         self._paused: dict[BufferingConnection, None] = {}
 
@@ -33,6 +35,10 @@
         """Bytes buffered by all connections."""
         return sum(self._used.values())
 
+    def use(self) -> MemoryUse:
+        """Return how much is in use."""
+        return MemoryUse("buffered values", self.used, self._shared + self._longest)
+
     def take(self, connection: BufferingConnection, size: int) -> None:
         """Count `size` bytes that a connection has received, and pause it if it has to wait for memory."""
         self._used[connection] = self._used.get(connection, 0) + size
--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -10,6 +10,7 @@
 
 from pebblepass.connection_limits.eviction import Activity
 from pebblepass.daemon.client_liveness import ClientLiveness
+from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
 from pebblepass.daemon.deferred_commands import DeferredCommands
 from pebblepass.daemon.memory_budget import MemoryBudget
 from pebblepass.daemon.reply import Reply
@@ -51,6 +52,7 @@
     poll_socket: Callable[[int, int], int]
     session_count: int
     shutting_down: bool
+    closes: CloseCounts
 
     @property
     def on_handover(self) -> object | None:
@@ -104,6 +106,7 @@
         self._closes_when_idle = False  # no further command is expected
         self._draining = False  # it closes for the router's shutdown, once it has nothing open
         self._disconnect_detected = False
+        self._close_reason = CloseReason.CLIENT_LEFT  # unless this process closes it
         self.liveness = ClientLiveness(server.lag, server.poll_socket, self.last_used_at, empty_at)
         """When the client is known to have been connected, and how long its bytes were unread."""
         self.unsent_at_last_sweep = 0
@@ -142,6 +145,7 @@
         if self.closed:
             return
         self.closed = True
+        self.server.closes.record(self._close_reason)
         # Warning: a connection left registered would keep its memory, count in the limit, and block a drain.
         self.server.unregister(self)
         if self._reserved:
@@ -160,7 +164,7 @@
             self._parse(data)
         except Exception:
             log.exception("reading a command of %d bytes from a client failed: connection aborted", len(data))
-            self.abort()
+            self.abort(CloseReason.FAULT)
 
     def _parse(self, data: bytes) -> None:
         reader = self.reader
@@ -172,7 +176,7 @@
         if len(commands) > 1 and self.client_has_disconnected():
             # Warning: servers would execute the commands of a client that has disconnected after sending
             # several.
-            self.abort()
+            self.abort(CloseReason.CLIENT_LEFT)
             return
         if commands:
             self._has_sent_several = self.has_sent_command or len(commands) > 1
@@ -303,7 +307,7 @@
             # Warning: closing with unread bytes would lose a request, and send a reset that may destroy the
             # last reply.
             if not (self._draining and self.has_unread()):
-                self.transport.close()
+                self.close(CloseReason.LAST_REPLY)
         elif not replies and self.server.on_handover is not None:
             self.server.loop.call_soon(self.server.begin_handover, self)  # the reply is still to be written
         elif not self.liveness.is_reading:
@@ -349,7 +353,7 @@
         if should_read and self.client_has_disconnected():
             # Warning: the commands that the client sent before it disconnected would be sent to servers,
             # even if it disconnected long ago.
-            self.server.loop.call_soon(self.abort)
+            self.server.loop.call_soon(self.abort, CloseReason.CLIENT_LEFT)
             return
         if should_read:
             self.liveness.resume(self.server.loop.time())
@@ -374,7 +378,7 @@
         if self.client_has_disconnected():
             self._disconnect_detected = True
             # Not in this call: the caller may be handling another request.
-            self.server.loop.call_soon(self.abort)
+            self.server.loop.call_soon(self.abort, CloseReason.CLIENT_LEFT)
             return False
         return True
 
@@ -419,7 +423,7 @@
         if not is_open and (with_partial_commands or not (self.reader.needed_bytes or is_new)):
             self._closes_when_idle = self._draining = True
             if not self.has_unread():
-                self.transport.close()
+                self.close(CloseReason.EXIT)
         elif is_open and (with_partial_commands or not self.reader.needed_bytes):
             self._closes_when_idle = self._draining = True
 
@@ -453,8 +457,15 @@
             self.liveness.restore_unread_age(unread_age)
             self.command_started_at = self.server.loop.time() - state.command_age_ms / 1000
 
-    def abort(self) -> None:
+    def close(self, reason: CloseReason) -> None:
+        """Close the connection once its replies are sent."""
+        self._close_reason = reason
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self, reason: CloseReason) -> None:
         """Abort the connection, and drop its open requests."""
+        self._close_reason = reason
         if self.transport is not None:
             self.transport.abort()
         self._handle_disconnect()
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -13,7 +13,9 @@
 from pebblepass.connection_limits.eviction import choose_eviction
 from pebblepass.daemon.client_connection import ClientConnection
 from pebblepass.daemon.client_timeouts import enforce_timeouts
+from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
 from pebblepass.daemon.memory_budget import MemoryBudget
+from pebblepass.daemon.memory_monitor import ClientFigures
 from pebblepass.daemon.reply_memory import MIN_REPLY_MEMORY_BYTES, ReplyMemory
 from pebblepass.daemon.request_hosts import Host, MultiKeyHost, PollTimes
 from pebblepass.daemon.socket_polling import accept_pending, socket_poller
@@ -54,6 +56,7 @@
         self._paused_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.multi_gets: MultiKeyHost | None = None
+        self.closes = CloseCounts()
         self.session_count = 0
         """Number of connections so far that have sent a session command."""
         self.budget = MemoryBudget(budget)
@@ -64,6 +67,8 @@
         self._backlog_age = BacklogAge()
         self.on_handover: Callable[[ConnectionHandover], None] | None = None
         """Called with each idle connection as long as there is another process to hand it over to."""
+        self.on_sweep: Callable[[float], None] = lambda now: None
+        """Called with the loop time after the timeouts were enforced; set by its owner."""
         self.draining = False
         """Whether connections are no longer accepted."""
         self._timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -77,7 +82,7 @@
     def limit(self, limit: int) -> None:
         self._limit = limit
         while len(self._connections) > limit and (evicted := self._eviction_candidate(True)) is not None:
-            evicted.abort()
+            evicted.abort(CloseReason.EVICTED)
 
     def _eviction_candidate(self, limit_is_lower: bool = False) -> ClientConnection | None:
         """Return the connection to evict for a newcomer or a lower limit; never one with unread bytes."""
@@ -105,7 +110,7 @@
         paused = [connection for connection in self._connections if connection.paused]
         for connection in paused:
             if connection.client_has_disconnected():
-                connection.abort()
+                connection.abort(CloseReason.CLIENT_LEFT)
         if paused:
             self.schedule_paused_poll()
 
@@ -137,11 +142,11 @@
         if len(self._connections) >= self._limit:
             evicted = self._eviction_candidate()
             if evicted is not None:
-                evicted.abort()
+                evicted.abort(CloseReason.EVICTED)
             elif len(self._connections) < self._limit + self._rejected_limit:
                 connection.is_over_limit = True
             else:
-                connection.abort()
+                connection.abort(CloseReason.NO_CAPACITY)
                 return
         self._connections[connection] = None
 
@@ -164,6 +169,17 @@
         """Number of connections, including those whose commands are rejected."""
         return len(self._connections)
 
+    def figures(self) -> ClientFigures:
+        """Return what the connections wait for."""
+        connections = list(self._connections)
+        return ClientFigures(
+            connected=len(connections),
+            partial_commands=sum(bool(connection.reader.needed_bytes) for connection in connections),
+            deferred=sum(connection.reader.has_unparsed for connection in connections),
+            paused=sum(connection.paused for connection in connections),
+            blocked=sum(connection.blocked for connection in connections),
+        )
+
     def accept_pending(self) -> bool:
         """Accept one connection from the backlog of the listener, which is about to close.
 
@@ -223,6 +239,7 @@
         now = self.loop.time()
         for connection in list(self._connections):
             enforce_timeouts(connection, now)
+        self.on_sweep(now)
 
     def close(self) -> None:
         """Close the listener, and abort all connections."""
@@ -231,4 +248,4 @@
             self._paused_timer.cancel()
         self.stop_accepting()
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(CloseReason.EXIT)
--- a/pebblepass/daemon/client_timeouts.py
+++ b/pebblepass/daemon/client_timeouts.py
@@ -5,6 +5,7 @@
 import logging
 
 from pebblepass.daemon.client_connection import ClientConnection
+from pebblepass.daemon.close_reasons import CloseReason
 
 IDLE_TIMEOUT_S = 2.0  # after which a connection without an open request is closed, even if it never had one
 COMMAND_TIMEOUT_S = 2.0  # for receiving one command; the platform allows 3 s, and a sweep may come 0.5 s late
@@ -28,8 +29,11 @@
         and now - connection.command_started_at > COMMAND_TIMEOUT_S
     ):
         log.warning(
-            "client did not complete its command within %.1f s: command rejected, closing the connection",
+            "client did not complete its command within %.1f s (%d of at least %d bytes received):"
+            " command rejected, closing the connection",
             COMMAND_TIMEOUT_S,
+            connection.reader.buffered_bytes,
+            connection.reader.needed_bytes,
         )
         connection.reject_unfinished()
 
@@ -45,7 +49,7 @@
             size,
             WRITE_STALL_TIMEOUT_S,
         )
-        connection.abort()
+        connection.abort(CloseReason.STALLED)
 
 
 def _check_idle(connection: ClientConnection, now: float) -> None:
@@ -54,4 +58,4 @@
     if now - connection.last_used_at <= IDLE_TIMEOUT_S or connection.transport is None:
         return
     if not connection.has_unread():
-        connection.transport.close()
+        connection.close(CloseReason.IDLE)
--- a/pebblepass/daemon/connection_handover.py
+++ b/pebblepass/daemon/connection_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pebblepass.daemon.client_connection import ClientConnection
+from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.handover.messages import MAX_PARTIAL_COMMAND, ConnectionState
 
 
@@ -52,6 +53,7 @@
         """Release the descriptor: the other process serves the connection now."""
         connection = self.connection
         connection.closed = True
+        connection.server.closes.record(CloseReason.HANDED_OVER)
         connection.server.unregister(connection)
         if connection.transport is not None:
             connection.transport.abort()
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -17,6 +17,7 @@
 from pebblepass.daemon.config import Config, ConfigError, reload_discovery
 from pebblepass.daemon.connection_pool import Pool
 from pebblepass.daemon.inherited_listener import adopt_listener
+from pebblepass.daemon.memory_monitor import MemoryMonitor, MemorySources, MemoryUse
 from pebblepass.daemon.reply_memory import MIN_REPLY_MEMORY_BYTES
 from pebblepass.daemon.router import RouterHost
 from pebblepass.decisions import ListKind
@@ -108,6 +109,9 @@
             self._allocation.rejected,
             self._reply_memory(),
         )
+        sources = MemorySources(self._memory_uses, self.clients.figures, lambda: self.host.open_request_count)
+        self._memory = MemoryMonitor(config.memory, sources)
+        self.clients.on_sweep = self._memory.check
         clock = self._clock = ClockOffset(self.host.now(), unix_ns())
         self._upgrade: RouterUpgrade | None = None
         self._settled_at = loop.time() + settling_delay(startup_cpu_s, config.cores)
@@ -134,6 +138,13 @@
         free = self._config.memory - self._reserved_memory
         return max(int(free * REPLY_MEMORY_SHARE), MIN_REPLY_MEMORY_BYTES)
 
+    def _memory_uses(self) -> list[MemoryUse]:
+        clients = self.clients
+        return [clients.budget.use(), clients.reply_memory.use(), self._pool.buffer_budget.use()]
+
+    def _diagnostic_lines(self) -> list[str]:
+        return [*self._memory.lines(), *self.clients.closes.lines()]
+
     def enable_multi_get(self, section: MultiGetSection) -> None:
         """Enable multi-gets; call it before `start`."""
         # Imported only if the operator has configured it.
@@ -156,7 +167,7 @@
         """Listen for clients and watch the endpoint list; raises OSError if an address can't be bound."""
         if self._config.ops is not None:
             fleet = self._fleet.answer if self._fleet is not None else None
-            sources = ControlSources(self.is_ready, self.host.metrics_lines, fleet)
+            sources = ControlSources(self.is_ready, self.host.metrics_lines, fleet, self._diagnostic_lines)
             self._control = ControlServer(self._loop, sources, self._control_limit)
             await self._control.listen(self._config.ops)
         if self._fleet is not None:
--- a/pebblepass/daemon/deferred_commands.py
+++ b/pebblepass/daemon/deferred_commands.py
@@ -7,6 +7,7 @@
 from collections.abc import Sized
 from typing import Protocol
 
+from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.daemon.reply_memory import ReplyMemory
 from pebblepass.wire.resp import CommandReader
 
@@ -39,7 +40,7 @@
     def flush(self) -> None:
         """Start the next reply; without one, close the connection or hand it over if that is pending."""
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Abort the connection."""
 
 
@@ -88,7 +89,7 @@
                 connection.accept_command(words, is_deferred=True)
             except Exception:
                 log.exception("handling a command from a client failed: connection aborted")
-                connection.abort()
+                connection.abort(CloseReason.FAULT)
         if not connection.closed:
             self.wait()
             connection.commands_parsed(starts_command=True)
--- a/pebblepass/daemon/memory_budget.py
+++ b/pebblepass/daemon/memory_budget.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import Protocol
 
+from pebblepass.daemon.memory_monitor import MemoryUse
+
 
 class BudgetWaiter(Protocol):
     """A connection that may wait for memory."""
@@ -24,6 +26,10 @@
         self._total = self._free = total
         self._waiting: deque[BudgetWaiter] = deque()
 
+    def use(self) -> MemoryUse:
+        """Return how much is reserved."""
+        return MemoryUse("long commands", self._total - self._free, self._total)
+
     def reserve(self, connection: BudgetWaiter, size: int) -> bool:
         """Reserve `size` bytes; returns False and queues the connection if too few are free."""
         if size > self._free:
--- a/pebblepass/daemon/reply.py
+++ b/pebblepass/daemon/reply.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any, Protocol
 
+from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.daemon.exchange import ValueSource
 from pebblepass.daemon.memory_budget import MemoryBudget
 from pebblepass.daemon.reply_memory import ANSWER_BYTES, ReplyMemory
@@ -39,7 +40,7 @@
     def is_alive(self) -> bool:
         """Whether the client is connected."""
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Abort the connection."""
 
 
@@ -140,7 +141,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the client sees that a streamed reply is incomplete."""
-        self._connection.abort()
+        self._connection.abort(CloseReason.INCOMPLETE_VALUE)
 
     def free_command(self) -> None:
         """Release the memory reserved for the command, which the host no longer needs."""
--- a/pebblepass/daemon/reply_memory.py
+++ b/pebblepass/daemon/reply_memory.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from pebblepass.daemon.memory_monitor import MemoryUse
 from pebblepass.wire.resp import LONG_VALUE_BYTES
 
 ANSWER_BYTES = LONG_VALUE_BYTES + 64
@@ -52,6 +53,10 @@
         """For how many further requests there is memory; 0 while commands wait for it."""
         return 0 if self._waiting else max(self._total - self.used, 0) // ANSWER_BYTES
 
+    def use(self) -> MemoryUse:
+        """Return how much is in use."""
+        return MemoryUse("pipelined requests", self.used, self._total)
+
     def take(self, size: int) -> None:
         """Count `size` bytes that are in use now; a negative size releases them."""
         self.used += size
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -210,6 +210,7 @@
 
     def record_rejection(self, command: Command, refused: str = "", failed: str = "") -> None:
         """Account for a request that is rejected before the decision module receives it."""
+        log.debug("request %s not accepted: %s", command.id, refused or failed)
         cls = command.fields["c"]
         if cls in self.classes:
             (self.counters.deferred if refused else self.counters.errored)[cls] += 1
@@ -226,6 +227,7 @@
 
     def drop_request(self, request: OpenRequest, failed: str = "") -> None:
         """Close a request whose client has disconnected, or that has `failed` for this reason."""
+        log.debug("request %s dropped: %s", request.id, failed or "its client has disconnected")
         if failed and not request.closed:
             self.counters.errored[request.command.fields["c"]] += 1
         if self.ledger is not None and not request.accounted:
@@ -272,6 +274,9 @@
         request = self.request(request_id)
         if request is not None and not request.closed:
             request.closed = True
+            log.debug(
+                "request %s ends after %d attempts: %s", request_id, request.attempts, refused or failed
+            )
             (self.counters.deferred if refused else self.counters.errored)[request.command.fields["c"]] += 1
             if self.ledger is not None:
                 if refused:
@@ -404,6 +409,8 @@
             return
         now = self.now()
         to_origin = action.server in self._origins
+        if request.attempts:
+            log.debug("request %s: attempt %d at %s", request.id, request.attempts, action.server)
         attempt = Attempt(self, request, action.server, to_origin, now, action.send_before)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.SUPERSEDED)
