A flood of commands on one connection makes no other client wait

Cause: what one read brought (up to 8 MB, as the loop reads up to 32 times) was handled in one call: the number of commands was bounded by the memory for their answers alone, and an error takes none.

Change: CommandTurns: 16 commands of a read are handled at once, the rest in turns of one command a connection, 64 an iteration of the loop. ReplyMemory only counts now.

--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -11,6 +11,7 @@
 from pebblepass.connection_limits.eviction import Activity
 from pebblepass.daemon.client_liveness import ClientLiveness
 from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
+from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.deferred_commands import DeferredCommands
 from pebblepass.daemon.memory_budget import MemoryBudget
 from pebblepass.daemon.reply import Reply
@@ -49,6 +50,7 @@
     lag: PollTimes
     budget: MemoryBudget
     reply_memory: ReplyMemory
+    turns: CommandTurns
     poll_socket: Callable[[int, int], int]
     session_count: int
     shutting_down: bool
@@ -101,7 +103,7 @@
         self.command_started_at = self.last_used_at
         self.has_sent_command = self._has_sent_several = False
         self._awaits_budget = False
-        self._deferred = DeferredCommands(self, server.reply_memory, server.loop)
+        self._deferred = DeferredCommands(self, server.turns, server.reply_memory, server.loop)
         self._blocking_bytes = 0  # of reply memory: in the write buffer of a client that does not read
         self._closes_when_idle = False  # no further command is expected
         self._draining = False  # it closes for the router's shutdown, once it has nothing open
@@ -172,7 +174,7 @@
         self.unread_ns = self.liveness.record_read(now, len(data))
         starts_command = not reader.needed_bytes
         is_next = not (self.replies or reader.has_unparsed)
-        commands = reader.feed(data, self.reply_memory.free_answers + is_next)
+        commands = reader.feed(data, self.server.turns.commands_per_read(is_next))
         if len(commands) > 1 and self.client_has_disconnected():
             # Warning: servers would execute the commands of a client that has disconnected after sending
             # several.
@@ -302,7 +304,7 @@
         if not replies:
             self.last_used_at = self.server.loop.time()
         if not replies and self.reader.has_unparsed:
-            self._deferred.schedule_next()
+            self._deferred.wait()
         elif not replies and self._closes_when_idle and self.transport is not None:
             # Warning: closing with unread bytes would lose a request, and send a reset that may destroy the
             # last reply.
@@ -343,7 +345,7 @@
         """Pause or resume reading, depending on whether another command can be accepted now."""
         full = len(self.replies) >= MAX_PIPELINE
         # The next commands of a client that waits for a reply would have to wait for memory.
-        is_short = self.reader.has_unparsed or (bool(self.replies) and self.reply_memory.is_short)
+        is_short = self.reader.has_unparsed or (bool(self.replies) and self.server.turns.is_short)
         waits_for_memory = is_short or self._awaits_budget
         should_read = not (
             self.blocked or waits_for_memory or self.reader.framing_error or full or self.in_handover
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -14,6 +14,7 @@
 from pebblepass.daemon.client_connection import ClientConnection
 from pebblepass.daemon.client_timeouts import enforce_timeouts
 from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
+from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.memory_budget import MemoryBudget
 from pebblepass.daemon.memory_monitor import ClientFigures
 from pebblepass.daemon.reply_memory import MIN_REPLY_MEMORY_BYTES, ReplyMemory
@@ -60,7 +61,8 @@
         self.session_count = 0
         """Number of connections so far that have sent a session command."""
         self.budget = MemoryBudget(budget)
-        self.reply_memory = ReplyMemory(reply_memory, loop.call_soon, self._update_reading)
+        self.reply_memory = ReplyMemory(reply_memory)
+        self.turns = CommandTurns(self.reply_memory, loop.call_soon, self._update_reading)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
         self._listener_descriptor = -1
--- a/pebblepass/daemon/deferred_commands.py
+++ b/pebblepass/daemon/deferred_commands.py
@@ -1,4 +1,4 @@
-"""Commands of one client that are left unparsed until there is reply memory for them, or no reply ahead."""
+"""Commands of one client that are left unparsed until it is their turn, and there is memory for them."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from pebblepass.daemon.close_reasons import CloseReason
+from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.reply_memory import ReplyMemory
 from pebblepass.wire.resp import CommandReader
 
@@ -47,37 +48,45 @@
 class DeferredCommands:
     """Dispatches what the reader of one connection has left unparsed."""
 
-    __slots__ = ("_bytes", "_connection", "_is_scheduled", "_loop", "_memory", "_received_at", "_unread_ns")
+    __slots__ = ("_bytes", "_connection", "_loop", "_memory", "_received_at", "_turns", "_unread_ns")
 
     def __init__(
-        self, connection: CommandConnection, memory: ReplyMemory, loop: asyncio.AbstractEventLoop
+        self,
+        connection: CommandConnection,
+        turns: CommandTurns,
+        memory: ReplyMemory,
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
-        self._connection, self._memory, self._loop = connection, memory, loop
+        self._connection, self._turns, self._memory, self._loop = connection, turns, memory, loop
         self._bytes = 0  # of reply memory
         self._received_at, self._unread_ns = 0.0, 0
-        self._is_scheduled = False
 
     @property
     def has_deferred(self) -> bool:
         """Whether commands wait; those of a client that does not read its replies wait until it does."""
         return self._connection.reader.has_unparsed and not self._connection.blocked
 
+    @property
+    def needs_memory(self) -> bool:
+        """Whether the next command has to wait for reply memory, as a reply is ahead of it."""
+        return bool(self._connection.replies)
+
     def received(self, now: float, unread_ns: int) -> None:
-        """Wait for memory; the commands were read at the loop time `now`, see `Reply.unread_ns`."""
+        """Wait for a turn; the commands were read at the loop time `now`, see `Reply.unread_ns`."""
         self._received_at, self._unread_ns = now, unread_ns
         self.wait()
 
     def wait(self) -> None:
-        """Count the unparsed bytes, and wait for memory if commands wait."""
+        """Count the unparsed bytes, and wait for a turn if commands wait."""
         reader = self._connection.reader
         self._count_bytes(reader.buffered_bytes if reader.has_unparsed else 0)
         if self.has_deferred:
-            self._memory.wait(self)
+            self._turns.wait(self)
         else:
-            self._memory.stop_waiting(self)
+            self._turns.stop_waiting(self)
 
     def dispatch_deferred(self) -> bool:
-        """Dispatch the next command, for whose answer there is memory; returns whether there was one."""
+        """Dispatch the next command; returns whether there was one."""
         if not self.has_deferred:
             return False
         connection = self._connection
@@ -94,27 +103,14 @@
             self.wait()
             connection.commands_parsed(starts_command=True)
             connection.update_reading()
+            if not (commands or connection.replies or connection.reader.has_unparsed):
+                connection.flush()
         return bool(commands)
 
-    def schedule_next(self) -> None:
-        """Dispatch the next command soon: no reply is ahead of it, so that it needs no reply memory."""
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._loop.call_soon(self._dispatch_next)
-
-    def _dispatch_next(self) -> None:
-        self._is_scheduled = False
-        connection = self._connection
-        while not (connection.replies or connection.closed):
-            if not self.dispatch_deferred():
-                if not connection.reader.has_unparsed:
-                    connection.flush()
-                return
-
     def discard(self) -> None:
         """Release the memory: the client has disconnected."""
         self._count_bytes(0)
-        self._memory.stop_waiting(self)
+        self._turns.stop_waiting(self)
 
     def _count_bytes(self, size: int) -> None:
         before, self._bytes = self._bytes, size
--- a/tests/daemon/test_reply_memory.py
+++ b/tests/daemon/test_reply_memory.py
@@ -9,6 +9,7 @@
 import pytest
 
 from pebblepass.daemon.attempts import OpenRequest
+from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.reply_memory import ANSWER_BYTES, MIN_REPLY_MEMORY_BYTES, ReplyMemory
 from tests.virtual_router import PeerConnection, RouterHarness, encode_request, run_with_router
 
@@ -109,7 +110,7 @@
         for client in clients:
             client.transport.close() if ends else client.transport.abort()
         await harness.wait(5.0)
-        assert not harness.daemon.clients.reply_memory.is_short
+        assert not harness.daemon.clients.turns.is_short
         harness.assert_nothing_left()
 
     run_with_router(test, **SMALL)
@@ -156,6 +157,8 @@
     def __init__(self, memory: ReplyMemory, commands: int, log: list[str], name: str) -> None:
         self._memory, self._commands, self._log, self._name = memory, commands, log, name
 
+    needs_memory = True
+
     @property
     def has_deferred(self) -> bool:
         return self._commands > 0
@@ -171,12 +174,14 @@
     scheduled: list[Callable[[], None]] = []
     shortages: list[bool] = []
     log: list[str] = []
-    memory = ReplyMemory(2 * ANSWER_BYTES, scheduled.append, lambda: shortages.append(memory.is_short))
+    memory = ReplyMemory(2 * ANSWER_BYTES)
+    turns = CommandTurns(memory, scheduled.append, lambda: shortages.append(turns.is_short))
     memory.take(2 * ANSWER_BYTES)
     for name in ("a", "b"):
-        memory.wait(Connection(memory, 2, log, name))
-    assert (memory.free_answers, shortages) == (0, [True])
-    while memory.is_short:
+        turns.wait(Connection(memory, 2, log, name))
+    scheduled.pop(0)()
+    assert (turns.commands_per_read(is_next=False), shortages) == (0, [True])
+    while turns.is_short:
         memory.take(-ANSWER_BYTES)
         scheduled.pop(0)()
     assert log == ["a", "b", "a", "b"]
