--- a/pebblepass/cli.py
+++ b/pebblepass/cli.py
@@ -55,8 +55,8 @@
 @click.option("--operator", type=click.Path(path_type=Path), help="The operator's configuration file.")
 def run(operator: Path | None) -> None:
     """Run a router with the configuration file that LB_CONFIG names."""
-    from pebblepass.daemon.__main__ import OPERATOR_VARIABLE
-    from pebblepass.daemon.__main__ import main as daemon_main
+    from pebblepass.daemon.process import OPERATOR_VARIABLE
+    from pebblepass.daemon.process import main as daemon_main
 
     if operator is not None:
         os.environ[OPERATOR_VARIABLE] = str(operator)
--- a/pebblepass/fault_injection/router.py
+++ b/pebblepass/fault_injection/router.py
@@ -26,8 +26,8 @@
 from pebblepass.consensus.actions import Action, PolicyActivated, Send, Write
 from pebblepass.consensus.replica import Replica
 from pebblepass.consensus.service import ConsensusService
-from pebblepass.daemon import __main__ as daemon_main
 from pebblepass.daemon import deadline_propagation, fleet
+from pebblepass.daemon import process as daemon_main
 from pebblepass.daemon.attempts import Attempt
 from pebblepass.daemon.daemon import Daemon
 from pebblepass.daemon.loop import DaemonLoop
--- a/pebblepass/scale/full.py
+++ b/pebblepass/scale/full.py
@@ -12,7 +12,7 @@
 import sys
 import threading
 
-from pebblepass.daemon.__main__ import main
+from pebblepass.daemon.process import main
 
 
 def _exit_at_end_of_input() -> None:
--- a/pebblepass/scale/hollow.py
+++ b/pebblepass/scale/hollow.py
@@ -27,9 +27,9 @@
 from pebblepass.consensus.actions import Action, Send
 from pebblepass.consensus.policy import Policy, StorePolicy
 from pebblepass.consensus.service import ConsensusService
-from pebblepass.daemon.__main__ import GC_THRESHOLD
 from pebblepass.daemon.fleet import FleetMember
 from pebblepass.daemon.loop import DaemonLoop
+from pebblepass.daemon.process import GC_THRESHOLD
 from pebblepass.decisions import PolicyChanged, Settings
 from pebblepass.decisions.settings import read_settings
 from pebblepass.discovery.client import DiscoveryClient
--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -111,7 +111,7 @@
     )
     assert [name for name in packages if find_spec(f"pebblepass.{name}") is None] == []  # all of these exist
     libraries = ("click", "rich", "numpy", "matplotlib", "sqlite3", "hypothesis")
-    script = "import sys, pebblepass.daemon.__main__; print(*sys.modules)"
+    script = "import sys, pebblepass.daemon.process; print(*sys.modules)"
     output = subprocess.run(
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
     )
--- a/tests/scale/test_commands.py
+++ b/tests/scale/test_commands.py
@@ -78,6 +78,6 @@
     import subprocess
     import sys
 
-    script = "import sys, pebblepass.daemon.__main__, pebblepass.daemon.fleet; print(*sys.modules)"
+    script = "import sys, pebblepass.daemon.process, pebblepass.daemon.fleet; print(*sys.modules)"
     loaded = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
     assert not [name for name in loaded.stdout.split() if name.startswith(("pebblepass.scale", "numpy"))]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -51,7 +51,7 @@
 
 
 def test_the_daemon_loads_no_module_that_only_tools_need() -> None:
-    code = "import sys, pebblepass.daemon.__main__; print(*sorted(sys.modules))"
+    code = "import sys, pebblepass.daemon.process; print(*sorted(sys.modules))"
     loaded = subprocess.run(
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
     )
