One account of the memory in which peers' bytes wait

Cause: budgets that were shares of the limit, and bounds for each connection where a bound of their sum was needed: partial commands up to 64 KB, commands of open requests, partial answers, write buffers up to 64 KB. Beside it, closed connections stayed until a garbage collection, and fields took far more than their bytes.

Change: MemoryAccount counts all of it beside the process and its connections. Nothing waits in the middle of a command.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -251,6 +251,8 @@
 
     def _time_out(self) -> None:
         if self._stream is None:  # else a long value has just begun
+            if self.connection is not None and self.connection.waits_for_memory:
+                self.exclude_from_health(always=True)
             self.give_up(Outcome.TIMEOUT)
 
     def request_bytes(self, address: Address) -> bytes:
--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -19,6 +19,11 @@
         self._missing_bytes = 0  # of a long value
         self._is_streamed = False  # whether the current answer has a long value
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The received bytes of an incomplete answer."""
+        return len(self._parser.buffered)
+
     def read_answer(self, data: bytes) -> None:
         """Parse received bytes, up to the last answer that the exchange expects."""
         parser = self._parser
--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -13,12 +13,12 @@
 from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
 from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.deferred_commands import DeferredCommands
-from pebblepass.daemon.memory_budget import MemoryBudget
+from pebblepass.daemon.limited_reads import LimitedReads
+from pebblepass.daemon.memory_account import SMALL_BYTES, MemoryAccount
+from pebblepass.daemon.partial_commands import PartialCommands
 from pebblepass.daemon.reply import Reply
-from pebblepass.daemon.reply_memory import ReplyMemory
 from pebblepass.daemon.request_hosts import Host, MultiKeyHost, PollTimes
 from pebblepass.wire.resp import (
-    LONG_VALUE_BYTES,
     MULTI_GET_COMMAND,
     Command,
     CommandReader,
@@ -31,11 +31,12 @@
     from pebblepass.handover.messages import ConnectionState
 
 MAX_PIPELINE = 256  # commands without a complete reply on one connection, before it is no longer read
-WRITE_HIGH_WATER_BYTES = 64 << 10
+WRITE_HIGH_WATER_BYTES = 1024  # of what the kernel has not accepted; more is counted in the memory account
 # For which a client counts as connected. The platform forbids attempts that begin over 0.1 s after a
 # disconnect.
 LIVENESS_TTL_S = 0.05
 
+REFUSED = b"-BUSY\r\n"
 NS_PER_MS = 10**6
 
 log = logging.getLogger("pebblepass")
@@ -48,8 +49,8 @@
     host: Host
     multi_gets: MultiKeyHost | None
     lag: PollTimes
-    budget: MemoryBudget
-    reply_memory: ReplyMemory
+    memory: MemoryAccount
+    partial_commands: PartialCommands
     turns: CommandTurns
     poll_socket: Callable[[int, int], int]
     session_count: int
@@ -77,7 +78,7 @@
         """Poll for disconnects while there are connections that are not read."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(LimitedReads):
     """One client's connection: parses commands, orders replies, and detects the client's disconnect."""
 
     def __init__(
@@ -98,13 +99,12 @@
         self.last_used_at = server.loop.time()
         self.reader = CommandReader(server.multi_gets is not None)
         self.session: ClientSession | None = None
-        self._reserved = 0  # bytes of the memory budget, for the command being received
+        self._partial_bytes = 0  # of the memory account: the long command being received
         # The timeout of the first command starts when the connection is accepted.
         self.command_started_at = self.last_used_at
         self.has_sent_command = self._has_sent_several = False
-        self._awaits_budget = False
-        self._deferred = DeferredCommands(self, server.turns, server.reply_memory, server.loop)
-        self._blocking_bytes = 0  # of reply memory: in the write buffer of a client that does not read
+        self._deferred = DeferredCommands(self, server.turns, server.memory, server.loop)
+        self._blocking_bytes = 0  # of the memory account: in the write buffer of a client that does not read
         self._closes_when_idle = False  # no further command is expected
         self._draining = False  # it closes for the router's shutdown, once it has nothing open
         self._disconnect_detected = False
@@ -150,8 +150,7 @@
         self.server.closes.record(self._close_reason)
         # Warning: a connection left registered would keep its memory, count in the limit, and block a drain.
         self.server.unregister(self)
-        if self._reserved:
-            self.server.budget.release(self._reserved)
+        self._count_partial_command(0)
         self._count_blocking_bytes(0)
         self._deferred.discard()
         replies, self.replies = self.replies, deque()
@@ -174,6 +173,7 @@
         self.unread_ns = self.liveness.record_read(now, len(data))
         starts_command = not reader.needed_bytes
         is_next = not (self.replies or reader.has_unparsed)
+        may_be_long = len(data) > SMALL_BYTES or bool(self._partial_bytes)
         commands = reader.feed(data, self.server.turns.commands_per_read(is_next))
         if len(commands) > 1 and self.client_has_disconnected():
             # Warning: servers would execute the commands of a client that has disconnected after sending
@@ -184,7 +184,7 @@
             self._has_sent_several = self.has_sent_command or len(commands) > 1
             self.has_sent_command = True
         for words in commands:
-            self.accept_command(words)
+            self.accept_command(words, may_be_long=may_be_long)
         if reader.has_unparsed:
             self._deferred.received(now, self.unread_ns)
             self.update_reading()
@@ -192,14 +192,24 @@
         if len(self.replies) >= MAX_PIPELINE:
             self.update_reading()
 
-    def accept_command(self, words: list[bytes], is_deferred: bool = False) -> None:
-        """Add the reply of a command, and dispatch it; `is_deferred`: it had to wait for memory."""
+    def accept_command(self, words: list[bytes], is_deferred: bool = False, may_be_long: bool = True) -> None:
+        """Add the reply of a command, and dispatch it or refuse it for want of memory.
+
+        `is_deferred`: it had to wait; `may_be_long`: whether it may be longer than SMALL_BYTES.
+        """
         reply = Reply(self)
-        reply.reserved, self._reserved = self._reserved, 0
+        has_memory = words is not self.reader.discarded
+        if may_be_long and self._partial_bytes:
+            self._count_partial_command(0)
         if self.replies:
-            reply.reserve_memory(words)
+            reply.reserve_answer()
+        if may_be_long or self.replies:
+            size = sum(map(len, words))
+            has_memory = has_memory and (size <= SMALL_BYTES or size <= self.memory.free)
+            if has_memory:
+                reply.count_command(size)
         self.replies.append(reply)
-        self._dispatch(words, reply, is_deferred)
+        self._dispatch(words, reply, is_deferred, has_memory)
 
     def commands_parsed(self, starts_command: bool) -> None:
         """Handle what is received behind the last command; `starts_command`: a command starts there."""
@@ -209,11 +219,33 @@
         elif reader.needed_bytes:
             if starts_command:
                 self.command_started_at = self.last_used_at
-            if reader.needed_bytes > LONG_VALUE_BYTES and not self._reserved and not self._awaits_budget:
-                self.reserve()
-        elif self._reserved and not reader.has_unparsed:
-            self.server.budget.release(self._reserved)
-            self._reserved = 0
+            self._receive_partial_command()
+        elif self._partial_bytes:
+            self._count_partial_command(0)
+
+    def _receive_partial_command(self) -> None:
+        """Count the bytes of a long command; if memory is short, it or another one is discarded."""
+        held = self.reader.held_bytes
+        if held <= SMALL_BYTES:
+            return
+        self._count_partial_command(held)
+        server = self.server
+        server.partial_commands.received(self)
+        while server.memory.free < 0 and len(server.partial_commands):
+            server.partial_commands.shed(self.last_used_at)
+
+    def discard_partial_command(self) -> None:
+        """Drop what is received of the command; it will be refused once it is complete."""
+        self.reader.discard_word()
+        self._count_partial_command(self.reader.held_bytes)
+        log.debug("memory is short: a command is refused once it is complete")
+
+    def _count_partial_command(self, size: int) -> None:
+        before, self._partial_bytes = self._partial_bytes, size
+        if size != before:
+            self.memory.commands.take(size - before)
+        if not size:
+            self.server.partial_commands.remove(self)
 
     def _reject_invalid_bytes(self, problem: str) -> None:
         """Reply to bytes that are not a command, and close."""
@@ -223,38 +255,33 @@
         self.update_reading()
         reply.send(b"-ERR Protocol error: %b\r\n" % problem.encode())
 
-    def reserve(self) -> None:
-        """Reserve memory for the command being received, or wait until enough is released."""
-        self._awaits_budget = not self.server.budget.reserve(self, self.reader.needed_bytes)
-        if not self._awaits_budget:
-            self._reserved = self.reader.needed_bytes
-            self.command_started_at = self.server.loop.time()
-        self.update_reading()
-
-    def _dispatch(self, words: list[bytes], reply: Reply, is_deferred: bool) -> None:
+    def _dispatch(self, words: list[bytes], reply: Reply, is_deferred: bool, has_memory: bool) -> None:
         if len(words) == 1 and words[0].upper() == b"PING":
             reply.send(b"+PONG\r\n" if self.server.host.ready else b"-LOADING no list of servers yet\r\n")
             reply.free_command()
             return
         try:
             command = parse_request(words)
-        except UnknownCommandError:
-            self._dispatch_other(words, reply)
-            return
         except ValueError as error:
-            reply.send(b"-ERR %b\r\n" % str(error).encode())
-            reply.free_command()
+            if not has_memory:  # words of a command that was discarded are missing
+                reply.send(REFUSED)
+                reply.free_command()
+            elif isinstance(error, UnknownCommandError):
+                self._dispatch_other(words, reply)
+            else:
+                reply.send(b"-ERR %b\r\n" % str(error).encode())
+                reply.free_command()
             return
         if self.is_over_limit or self.server.shutting_down:
             self._closes_when_idle = True
             self._reject(command, reply, "connections" if self.is_over_limit else "router ends")
-        elif is_deferred and self.unread_ns >= command.timeout_ms * NS_PER_MS:
+        elif not has_memory or (is_deferred and self.unread_ns >= command.timeout_ms * NS_PER_MS):
             self._reject(command, reply, "memory")
         else:
             self.server.host.request_arrived(command, reply)
 
     def _reject(self, command: Command, reply: Reply, reason: str) -> None:
-        reply.send(b"-BUSY\r\n")
+        reply.send(REFUSED)
         self.server.host.record_rejection(command, refused=reason)
         reply.free_command()
 
@@ -280,14 +307,14 @@
         reply.free_command()
 
     @property
-    def budget(self) -> MemoryBudget:
-        """The memory budget for long commands."""
-        return self.server.budget
+    def memory(self) -> MemoryAccount:
+        """The account of memory."""
+        return self.server.memory
 
     @property
-    def reply_memory(self) -> ReplyMemory:
-        """The memory for pipelined requests."""
-        return self.server.reply_memory
+    def is_short_of_memory(self) -> bool:
+        """Whether to read little at a time."""
+        return self.server.memory.is_short
 
     def write(self, data: bytes) -> None:
         """Write to the client."""
@@ -339,17 +366,15 @@
 
     def _count_blocking_bytes(self, size: int) -> None:
         before, self._blocking_bytes = self._blocking_bytes, size
-        self.reply_memory.take(size - before)
+        if size != before:
+            self.memory.replies.take(size - before)
 
     def update_reading(self) -> None:
         """Pause or resume reading, depending on whether another command can be accepted now."""
         full = len(self.replies) >= MAX_PIPELINE
         # The next commands of a client that waits for a reply would have to wait for memory.
         is_short = self.reader.has_unparsed or (bool(self.replies) and self.server.turns.is_short)
-        waits_for_memory = is_short or self._awaits_budget
-        should_read = not (
-            self.blocked or waits_for_memory or self.reader.framing_error or full or self.in_handover
-        )
+        should_read = not (self.blocked or is_short or self.reader.framing_error or full or self.in_handover)
         if should_read == self.liveness.is_reading or self.transport is None or self.transport.is_closing():
             return
         if should_read and self.client_has_disconnected():
@@ -435,7 +460,7 @@
         if self.transport is None or self.transport.is_closing() or self.has_open_requests:
             return False
         is_about_to_close = self._closes_when_idle or self.closed or self.is_over_limit
-        is_waiting = self.blocked or self._awaits_budget or self._reserved
+        is_waiting = self.blocked or self._partial_bytes or self.reader.is_discarding
         return not (is_about_to_close or is_waiting or self.in_handover)
 
     @property
@@ -474,9 +499,7 @@
 
     def reject_unfinished(self) -> None:
         """Reply to a command that was not received in time, and close."""
-        # Released first: connections that wait for this memory may reach their own timeout in the same sweep.
-        reserved, self._reserved = self._reserved, 0
-        self.server.budget.release(reserved)
+        self._count_partial_command(0)
         self._closes_when_idle = True
         reply = Reply(self)
         self.replies.append(reply)
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -15,9 +15,9 @@
 from pebblepass.daemon.client_timeouts import enforce_timeouts
 from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
 from pebblepass.daemon.command_turns import CommandTurns
-from pebblepass.daemon.memory_budget import MemoryBudget
+from pebblepass.daemon.memory_account import MIN_ACCOUNT_BYTES, MemoryAccount
 from pebblepass.daemon.memory_monitor import ClientFigures
-from pebblepass.daemon.reply_memory import MIN_REPLY_MEMORY_BYTES, ReplyMemory
+from pebblepass.daemon.partial_commands import PartialCommands
 from pebblepass.daemon.request_hosts import Host, MultiKeyHost, PollTimes
 from pebblepass.daemon.socket_polling import accept_pending, socket_poller
 from pebblepass.daemon.unread_age import BacklogAge
@@ -41,13 +41,12 @@
         loop: asyncio.AbstractEventLoop,
         host: Host,
         limit: int,
-        budget: int,
+        memory: MemoryAccount | None = None,
         rejected: int = MAX_REJECTED_CONNECTIONS,
-        reply_memory: int = MIN_REPLY_MEMORY_BYTES,
     ) -> None:
         """`limit`: connections that are served; `rejected`: further ones, whose commands are rejected.
 
-        `budget`: bytes for long commands; `reply_memory`: bytes for pipelined requests.
+        `memory`: the account of this process; None: one of MIN_ACCOUNT_BYTES.
         """
         self.loop, self.host, self._limit, self._rejected_limit = loop, host, limit, rejected
         self.poll_socket: Callable[[int, int], int] = socket_poller(loop).poll
@@ -60,9 +59,9 @@
         self.closes = CloseCounts()
         self.session_count = 0
         """Number of connections so far that have sent a session command."""
-        self.budget = MemoryBudget(budget)
-        self.reply_memory = ReplyMemory(reply_memory)
-        self.turns = CommandTurns(self.reply_memory, loop.call_soon, self._update_reading)
+        self.memory = memory or MemoryAccount(MIN_ACCOUNT_BYTES)
+        self.partial_commands = PartialCommands()
+        self.turns = CommandTurns(self.memory, loop.call_soon, self._update_reading)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
         self._listener_descriptor = -1
--- a/pebblepass/daemon/command_turns.py
+++ b/pebblepass/daemon/command_turns.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pebblepass.daemon.reply_memory import ReplyMemory
+from pebblepass.daemon.memory_account import MemoryAccount
 
 MAX_COMMANDS_PER_READ = 16
 """Commands that a connection dispatches as it receives them, before it has to wait for its turn."""
@@ -29,7 +29,7 @@
 
     @property
     def needs_memory(self) -> bool:
-        """Whether the next command has to wait for reply memory, as a reply is ahead of it."""
+        """Whether the next command has to wait for memory, as a reply is ahead of it."""
 
 
 class CommandTurns:
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        memory: ReplyMemory,
+        memory: MemoryAccount,
         schedule: Callable[[Callable[[], None]], object],
         on_shortage: Callable[[], None],
     ) -> None:
@@ -46,7 +46,7 @@
         self._waiting: dict[DeferringConnection, None] = {}
         self._short: dict[DeferringConnection, None] = {}
         self._is_scheduled = False
-        memory.on_release = self._memory_released
+        memory.on_release(self._memory_released)
 
     @property
     def is_short(self) -> bool:
--- a/pebblepass/daemon/connection_pool.py
+++ b/pebblepass/daemon/connection_pool.py
@@ -6,15 +6,15 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
+from pebblepass.daemon.answer_reads import AnswerReads
 from pebblepass.daemon.answer_times import AnswerTimes
-from pebblepass.daemon.buffer_budget import BufferBudget
 from pebblepass.daemon.dial import dial
 from pebblepass.daemon.exchange import Exchange
+from pebblepass.daemon.memory_account import MIN_ACCOUNT_BYTES, MemoryAccount
 from pebblepass.daemon.server_connection import MAX_CONNECTIONS_PER_SERVER, Connection, Server
 from pebblepass.daemon.socket_polling import socket_poller
 from pebblepass.decisions import Outcome
 from pebblepass.wire.address import Address
-from pebblepass.wire.resp import MAX_ANSWER_VALUE_BYTES
 
 IDLE_CLOSE_FRACTION = 0.9
 """Fraction of the servers' idle timeout after which this router closes an idle connection."""
@@ -39,16 +39,17 @@
         dial_timeout: float,
         idle_close: float,
         reports: bool = True,
-        buffer_bytes: int = 16 << 20,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """`limit`: maximum number of connections; `dial_timeout` and `idle_close` are in seconds.
 
         `reports`: servers send load reports, so that a rejection without one has another reason than load;
-        `buffer_bytes`: memory for long values of unknown length.
+        `memory`: the account of this process; None: one of MIN_ACCOUNT_BYTES.
         """
         self.reports = reports
         self.poller = socket_poller(loop)
-        self.buffer_budget = BufferBudget(buffer_bytes, MAX_ANSWER_VALUE_BYTES)
+        self.memory = memory or MemoryAccount(MIN_ACCOUNT_BYTES)
+        self.answer_reads = AnswerReads(self.memory)
         self.loop = loop
         self._limit, self._dial_timeout = limit, dial_timeout
         self._idle_limit = idle_close * IDLE_CLOSE_FRACTION
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -17,8 +17,8 @@
 from pebblepass.daemon.config import Config, ConfigError, reload_discovery
 from pebblepass.daemon.connection_pool import Pool
 from pebblepass.daemon.inherited_listener import adopt_listener
+from pebblepass.daemon.memory_account import MemoryAccount, account_bytes
 from pebblepass.daemon.memory_monitor import MemoryMonitor, MemorySources, MemoryUse
-from pebblepass.daemon.reply_memory import MIN_REPLY_MEMORY_BYTES
 from pebblepass.daemon.router import RouterHost
 from pebblepass.decisions import ListKind
 from pebblepass.decisions.interface import NS_PER_S
@@ -42,10 +42,8 @@
 KILL_SLACK_S = 0.65  # after the longest deadline; the platform sends SIGKILL no sooner than 0.7 s after it
 DRAIN_STEP_S = 0.01
 RELOAD_TRIES, RELOAD_STEP_S = 20, 0.1  # the file may be incomplete while it is written
-COMMAND_MEMORY_SHARE = 0.2  # fraction of the memory for clients' long commands
-VALUE_MEMORY_SHARE = 0.15  # fraction of the memory for long values of unknown length
-REPLY_MEMORY_SHARE = 0.7  # for pipelined requests: fraction of the memory that nothing else may use
-OWN_MEMORY_BYTES = 32 << 20
+MULTI_GET_MEMORY_FACTOR = 2  # multi-gets may take a quarter of it: at most half of the account
+OWN_MEMORY_BYTES = 24 << 20
 """Of a process without a request, where it can't be measured."""
 
 log = logging.getLogger("pebblepass")
@@ -96,18 +94,12 @@
             log.warning("%s", self._allocation.warning)
         dial_timeout, idle_close = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
         reports = bool(config.settings.load_fields)
-        value_memory = int(config.memory * VALUE_MEMORY_SHARE)
-        self._pool = Pool(loop, self._allocation.servers, dial_timeout, idle_close, reports, value_memory)
+        self._own_memory, self._multi_get_memory = own_memory, 0
+        self._account = MemoryAccount(self._account_bytes())
+        self._pool = Pool(loop, self._allocation.servers, dial_timeout, idle_close, reports, self._account)
         self.host = self.host_class(loop, config.settings, config.seed, self._pool, config.max_open)
-        command_memory = int(config.memory * COMMAND_MEMORY_SHARE)
-        self._reserved_memory = own_memory + command_memory + value_memory
         self.clients = ClientServer(
-            loop,
-            self.host,
-            self._allocation.served,
-            command_memory,
-            self._allocation.rejected,
-            self._reply_memory(),
+            loop, self.host, self._allocation.served, self._account, self._allocation.rejected
         )
         sources = MemorySources(self._memory_uses, self.clients.figures, lambda: self.host.open_request_count)
         self._memory = MemoryMonitor(config.memory, sources)
@@ -133,14 +125,15 @@
         self._control: ControlServer | None = None
         self._fleet: FleetMember | None = None
 
-    def _reply_memory(self) -> int:
-        """Return the bytes for pipelined requests."""
-        free = self._config.memory - self._reserved_memory
-        return max(int(free * REPLY_MEMORY_SHARE), MIN_REPLY_MEMORY_BYTES)
+    def _account_bytes(self, processes: int = 1) -> int:
+        """Return the bytes that peers' bytes may take in one of `processes` processes."""
+        allocation = self._allocation
+        connections = allocation.served + allocation.rejected + allocation.servers
+        limit = self._config.memory - self._multi_get_memory
+        return account_bytes(limit, self._own_memory, connections, processes)
 
     def _memory_uses(self) -> list[MemoryUse]:
-        clients = self.clients
-        return [clients.budget.use(), clients.reply_memory.use(), self._pool.buffer_budget.use()]
+        return self._account.uses()
 
     def _diagnostic_lines(self) -> list[str]:
         return [*self._memory.lines(), *self.clients.closes.lines()]
@@ -150,10 +143,11 @@
         # Imported only if the operator has configured it.
         from pebblepass.daemon.multi_get.registry import MultiGetRegistry
 
-        registry = MultiGetRegistry(self._loop, self.host, self._pool, section, self._config.memory)
+        memory = min(self._config.memory, self._account_bytes() * MULTI_GET_MEMORY_FACTOR)
+        registry = MultiGetRegistry(self._loop, self.host, self._pool, section, memory)
         self.host.multi_gets = self.clients.multi_gets = registry
-        self._reserved_memory += registry.allocator.bounds.memory
-        self.clients.reply_memory.resize(self._reply_memory())
+        self._multi_get_memory = registry.allocator.bounds.memory
+        self._account.resize(self._account_bytes())
 
     def join_fleet(self, section: FleetSection) -> FleetMember:
         """Join a fleet of routers; call it before `start`. Raises ConfigError."""
@@ -191,7 +185,6 @@
         from pebblepass.daemon.upgrade import RouterParts, RouterUpgrade
 
         folder = os.environ.get("TMPDIR") or tempfile.gettempdir()
-        command_memory = int(self._config.memory * COMMAND_MEMORY_SHARE)
         parts = RouterParts(
             self._loop,
             self.host,
@@ -199,8 +192,8 @@
             self._pool,
             self._discovery,
             self._clock,
-            command_memory,
-            self._reply_memory(),
+            self._account,
+            self._account_bytes,
         )
         self._upgrade = RouterUpgrade(
             parts, listener, folder, self._allocation.own + self._allocation.rejected
--- a/pebblepass/daemon/deferred_commands.py
+++ b/pebblepass/daemon/deferred_commands.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import logging
+import weakref
 from collections.abc import Sized
 from typing import Protocol
 
 from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.daemon.command_turns import CommandTurns
-from pebblepass.daemon.reply_memory import ReplyMemory
+from pebblepass.daemon.memory_account import MemoryAccount
 from pebblepass.wire.resp import CommandReader
 
 NS_PER_S = 10**9
@@ -54,11 +55,14 @@
         self,
         connection: CommandConnection,
         turns: CommandTurns,
-        memory: ReplyMemory,
+        memory: MemoryAccount,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
-        self._connection, self._turns, self._memory, self._loop = connection, turns, memory, loop
-        self._bytes = 0  # of reply memory
+        # Warning: with a reference to each other, closed connections and their bytes would stay in
+        # memory until the garbage collector finds them.
+        self._connection: CommandConnection = weakref.proxy(connection)
+        self._turns, self._memory, self._loop = turns, memory, loop
+        self._bytes = 0  # of the memory account
         self._received_at, self._unread_ns = 0.0, 0
 
     @property
@@ -114,4 +118,5 @@
 
     def _count_bytes(self, size: int) -> None:
         before, self._bytes = self._bytes, size
-        self._memory.take(size - before)
+        if size != before:
+            self._memory.commands.take(size - before)
--- a/pebblepass/daemon/exchange.py
+++ b/pebblepass/daemon/exchange.py
@@ -19,6 +19,10 @@
     retired: bool
     """Whether it can be used for no further exchange."""
 
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether it is not read for want of memory, which is no fault of its server."""
+
     def close(self) -> None:
         """Abort the connection."""
 
--- /dev/null
+++ b/pebblepass/daemon/memory_account.py
@@ -0,0 +1,113 @@
+"""One account of the memory in which peers' bytes wait. No I/O, no clock.
+
+Whatever holds bytes of a client or a server counts them here: commands that are received in part, wait for
+their turn or belong to open requests, answers that are received in part, and replies that a client has not
+read. A command or answer of up to SMALL_BYTES is not counted, so that there is always memory for it. What
+happens when memory is short is the decision of each use.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pebblepass.daemon.memory_monitor import MemoryUse
+from pebblepass.wire.resp import LONG_VALUE_BYTES, MAX_ANSWER_VALUE_BYTES
+
+SMALL_BYTES = 1024
+"""A command up to this length is accepted even if memory is short."""
+ANSWER_BYTES = LONG_VALUE_BYTES + 64
+"""Length of the longest reply that is buffered, with its header."""
+CONNECTION_BYTES = 4 << 10
+"""Memory of one connection without what is counted here."""
+COUNTED_FRACTION = 0.7
+"""Fraction of the free memory that may be counted: objects and the allocator take the rest."""
+RESERVED_FRACTION = 1 / 3
+"""Maximum fraction of the account that is reserved for the answer that was first to need memory."""
+PIPELINE_FRACTION = 0.8
+"""Fraction of the account beyond which no further pipelined command is dispatched."""
+MIN_ACCOUNT_BYTES = 1 << 20
+
+
+def account_bytes(limit: int, own: int, connections: int, processes: int = 1) -> int:
+    """Return the bytes that the account of one of `processes` processes, which share the limit, may count.
+
+    `limit`: of the router's memory; `own`: of one process without a request; `connections`: the maximum
+    number of connections of all processes.
+    """
+    free = limit - own * processes - connections * CONNECTION_BYTES
+    return max(int(free * COUNTED_FRACTION) // processes, MIN_ACCOUNT_BYTES)
+
+
+class MemoryCounter:
+    """The bytes of one use of the account."""
+
+    __slots__ = ("_account", "name", "used")
+
+    def __init__(self, account: MemoryAccount, name: str) -> None:
+        self._account, self.name, self.used = account, name, 0
+
+    def take(self, size: int) -> None:
+        """Count `size` bytes that are in use now; a negative size releases them."""
+        self.used += size
+        account = self._account
+        account.used += size
+        if size < 0:
+            account.notify_release()
+
+
+class MemoryAccount:
+    """The account of one process."""
+
+    def __init__(self, total: int) -> None:
+        """`total`: bytes that may be counted."""
+        self._total = total
+        self.used = 0
+        self.commands = MemoryCounter(self, "commands")
+        self.replies = MemoryCounter(self, "replies")
+        self.answers = MemoryCounter(self, "answers")
+        self._on_release: list[Callable[[], None]] = []
+
+    @property
+    def reserved(self) -> int:
+        """Bytes that only the first answer that needs memory may use, so that one can always be received."""
+        return min(MAX_ANSWER_VALUE_BYTES, int(self._total * RESERVED_FRACTION))
+
+    @property
+    def free(self) -> int:
+        """Bytes that any use may count now; negative if more than the total are in use."""
+        return self._total - self.reserved - self.used
+
+    @property
+    def is_short(self) -> bool:
+        """Whether all but the reserved bytes are in use."""
+        return self.free <= 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the reserved bytes are in use too."""
+        return self.used >= self._total
+
+    @property
+    def free_answers(self) -> int:
+        """For how many further pipelined requests, with the longest answers, there is memory."""
+        limit = int((self._total - self.reserved) * PIPELINE_FRACTION)
+        return max(limit - self.used, 0) // ANSWER_BYTES
+
+    def uses(self) -> list[MemoryUse]:
+        """Return how much each use takes."""
+        counters = (self.commands, self.replies, self.answers)
+        return [MemoryUse(counter.name, counter.used, self._total) for counter in counters]
+
+    def on_release(self, callback: Callable[[], None]) -> None:
+        """Call back whenever memory is released."""
+        self._on_release.append(callback)
+
+    def notify_release(self) -> None:
+        """Tell those who wait that memory was released."""
+        for callback in self._on_release:
+            callback()
+
+    def resize(self, total: int) -> None:
+        """Change the total; what is in use stays."""
+        self._total = total
+        self.notify_release()
--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -21,6 +21,7 @@
         self._body = bytearray()
         self._streaming = False
         self._unsent: memoryview | None = None  # the rest of a buffered long value, not passed on yet
+        self._unsent_length = 0  # of the complete value
         self._paused = False
 
     def read_answer(self, data: bytes) -> None:
@@ -44,8 +45,6 @@
             return
         value = None if self._streaming else bytes(self._body)
         self._streaming = False
-        if len(self._body) > LONG_VALUE_BYTES:  # an error's text: it is not used, but counts in the budget
-            self._discard_buffered()
         self._body.clear()
         self._finish_exchange(value)
 
@@ -81,23 +80,19 @@
             if self.exchange is not None:
                 self.exchange.value_received(data)
             return
-        before = len(self._body)
         self._body += data
-        if len(self._body) > MAX_ANSWER_VALUE_BYTES:
+        # The client needs the length first, so the complete value is buffered.
+        if len(self._body) > max(self.server.pool.answer_reads.longest, LONG_VALUE_BYTES):
             raise HttpError("value too long")
-        if len(self._body) > LONG_VALUE_BYTES:
-            # The client needs the length first, so the complete value is buffered; the budget limits this.
-            self.server.pool.buffer_budget.take(
-                self, len(self._body) - (before if before > LONG_VALUE_BYTES else 0)
-            )
 
     # A long value received without a length: it stays buffered until the client has read it
 
     def _stream_buffered(self) -> None:
         assert self.exchange is not None
-        self._unsent, self._paused = memoryview(bytes(self._body)), False
-        self._body.clear()
-        self.exchange.value_started(len(self._unsent), self)
+        body, self._body = self._body, bytearray()
+        self._unsent, self._paused = memoryview(body), False
+        self._unsent_length = len(body)
+        self.exchange.value_started(len(body), self)
         self._pass_on_buffered()
 
     def _pass_on_buffered(self) -> None:
@@ -123,16 +118,21 @@
             self._pass_on_buffered()
 
     def pause_buffering(self) -> None:
-        """Pause reading: the memory is in use for other values."""
+        """Pause reading: the memory is in use for other answers."""
         super().pause()
 
     def resume_buffering(self) -> None:
         """Resume reading."""
         super().resume()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The received bytes of a body that is not complete, or not passed on yet."""
+        return self._unsent_length if self._unsent is not None else len(self._body)
+
     def _discard_buffered(self) -> None:
         self._unsent = None
-        self.server.pool.buffer_budget.release(self)
+        self._count_buffered()
 
     def close(self) -> None:
         """Abort the connection, and discard the buffered value."""
--- a/pebblepass/daemon/reply.py
+++ b/pebblepass/daemon/reply.py
@@ -7,8 +7,7 @@
 
 from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.daemon.exchange import ValueSource
-from pebblepass.daemon.memory_budget import MemoryBudget
-from pebblepass.daemon.reply_memory import ANSWER_BYTES, ReplyMemory
+from pebblepass.daemon.memory_account import ANSWER_BYTES, MemoryAccount
 
 if TYPE_CHECKING:
     from pebblepass.daemon.session_commands import ClientSession
@@ -24,12 +23,8 @@
     session: ClientSession | None
 
     @property
-    def budget(self) -> MemoryBudget:
-        """The memory budget for long commands."""
-
-    @property
-    def reply_memory(self) -> ReplyMemory:
-        """The memory for pipelined requests."""
+    def memory(self) -> MemoryAccount:
+        """The account of memory."""
 
     def write(self, data: bytes) -> None:
         """Write to the client."""
@@ -48,25 +43,29 @@
     """The reply to one command; replies are written in the order of the commands on the connection."""
 
     __slots__ = (
-        "_buffered", "_connection", "answer_bytes", "command_bytes", "done", "request", "reserved", "source",
+        "_buffered", "_connection", "answer_bytes", "command_bytes", "done", "request", "source",
     )  # fmt: skip
 
     def __init__(self, connection: ReplyConnection) -> None:
         self._connection = connection
         self._buffered: list[bytes] = []
         self.answer_bytes = 0
-        """Reply memory reserved for an answer that is not known yet."""
+        """Bytes of memory reserved for an answer that is not known yet."""
         self.command_bytes = 0
-        """Reply memory that its command takes."""
+        """Bytes of memory that are counted for its command."""
         self.done = False
         self.source: ValueSource | None = None
         self.request: Any = None  # set and read by the host
-        self.reserved = 0
 
-    def reserve_memory(self, words: list[bytes]) -> None:
-        """Reserve reply memory for a command behind others, and for its answer."""
-        self.answer_bytes, self.command_bytes = ANSWER_BYTES, sum(map(len, words))
-        self._connection.reply_memory.take(self.answer_bytes + self.command_bytes)
+    def reserve_answer(self) -> None:
+        """Reserve memory for the answer of a command behind others."""
+        self.answer_bytes = ANSWER_BYTES
+        self._connection.memory.replies.take(ANSWER_BYTES)
+
+    def count_command(self, size: int) -> None:
+        """Count the bytes of its command until `free_command`."""
+        self.command_bytes = size
+        self._connection.memory.commands.take(size)
 
     def send(self, data: bytes) -> None:
         """Write the complete reply, or its last part."""
@@ -97,10 +96,10 @@
         self._buffered.append(data)
         reserved = min(self.answer_bytes, len(data))
         self.answer_bytes -= reserved
-        self._connection.reply_memory.take(len(data) - reserved)
+        self._connection.memory.replies.take(len(data) - reserved)
 
     def _release_answer(self) -> None:
-        self._connection.reply_memory.take(-self.answer_bytes)
+        self._connection.memory.replies.take(-self.answer_bytes)
         self.answer_bytes = 0
 
     @property
@@ -111,7 +110,7 @@
     def discard(self) -> None:
         """Release the memory of the answer: the client has disconnected."""
         self._release_answer()
-        self._connection.reply_memory.take(-sum(map(len, self._buffered)))
+        self._connection.memory.replies.take(-sum(map(len, self._buffered)))
         self._buffered.clear()
 
     @property
@@ -145,10 +144,8 @@
 
     def free_command(self) -> None:
         """Release the memory reserved for the command, which the host no longer needs."""
-        self._connection.budget.release(self.reserved)
-        self.reserved = 0
         if self.command_bytes:
-            self._connection.reply_memory.take(-self.command_bytes)
+            self._connection.memory.commands.take(-self.command_bytes)
             self.command_bytes = 0
 
     def write_buffered(self) -> None:
@@ -158,7 +155,7 @@
             if connection.blocked:
                 break
             written += 1
-            connection.reply_memory.take(-len(data))
+            connection.memory.replies.take(-len(data))
             connection.write(data)
         del self._buffered[:written]
         if self.source is not None and not connection.blocked:
--- a/pebblepass/daemon/server_connection.py
+++ b/pebblepass/daemon/server_connection.py
@@ -9,9 +9,11 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from pebblepass.daemon.answer_reads import AnswerReads
 from pebblepass.daemon.answer_times import SUSPECT_DELAYS, AnswerTimes
-from pebblepass.daemon.buffer_budget import BufferBudget
 from pebblepass.daemon.exchange import NOTHING, Answer, Exchange
+from pebblepass.daemon.limited_reads import LimitedReads
+from pebblepass.daemon.memory_account import MemoryAccount
 from pebblepass.daemon.socket_polling import SocketPoller
 from pebblepass.decisions import Outcome
 from pebblepass.wire.address import Address
@@ -26,7 +28,8 @@
 
     loop: asyncio.AbstractEventLoop
     poller: SocketPoller
-    buffer_budget: BufferBudget
+    memory: MemoryAccount
+    answer_reads: AnswerReads
     reports: bool
     """Whether servers send load reports."""
 
@@ -43,7 +46,7 @@
         """Stop further dials to its server for a while; returns whether there are other connections to it."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(LimitedReads):
     """One connection, with at most one exchange at a time, so that no exchange waits for another's answer."""
 
     def __init__(self, server: Server) -> None:
@@ -57,6 +60,8 @@
         # Whether it has received an answer, and a part of the current answer.
         self._has_served = self._has_answer_bytes = False
         self._reading_paused = False  # whether the client of a streamed value does not read
+        self._buffered_bytes = 0  # of an answer, as counted in the memory account
+        self._unsent_bytes = 0  # of a request, as counted in the memory account
         # Loop times before and after the request was written; between them the process may have been delayed.
         self._send_started_at = self._send_ended_at = 0.0
         self._answer_time_s: float | None = None  # of the current answer, until it is recorded
@@ -71,10 +76,18 @@
     def pause_writing(self) -> None:
         """Record that the kernel has not accepted every byte."""
         self.unsent = True
+        if self.transport is not None:
+            self._count_unsent(self.transport.get_write_buffer_size())
+
+    def _count_unsent(self, size: int) -> None:
+        before, self._unsent_bytes = self._unsent_bytes, size
+        if size != before:
+            self.server.pool.memory.commands.take(size - before)
 
     def resume_writing(self) -> None:
         """Record that the kernel has accepted every byte."""
         self.unsent = False
+        self._count_unsent(0)
         if self.exchange is not None:
             self.exchange.written()
 
@@ -111,6 +124,7 @@
     def close(self) -> None:
         """Abort the connection."""
         self.retired = True
+        self._release_memory()
         if self.transport is not None:
             self.transport.abort()
 
@@ -197,6 +211,7 @@
                 return
         try:
             self.read_answer(data)
+            self._count_buffered()
         except Exception:
             log.exception("parsing an answer of server %s failed", self.server.id)
             self.fail_protocol("sent an answer that this router failed to parse")
@@ -227,12 +242,48 @@
     def read_answer(self, data: bytes) -> None:
         """Parse a part of the answer."""
 
+    @property
+    @abstractmethod
+    def buffered_bytes(self) -> int:
+        """The received bytes of an incomplete answer, or of one that is not passed on yet."""
+
+    def _count_buffered(self) -> None:
+        size = self.buffered_bytes
+        if size != self._buffered_bytes:
+            self._buffered_bytes = size
+            self.server.pool.answer_reads.count(self, size)
+
+    def _release_memory(self) -> None:
+        self._count_unsent(0)
+        if self._buffered_bytes:
+            self._buffered_bytes = 0
+            self.server.pool.answer_reads.release(self)
+
+    @property
+    def is_short_of_memory(self) -> bool:
+        """Whether to read little at a time."""
+        return self.server.pool.memory.is_short
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether it is not read for want of memory, which is no fault of its server."""
+        return self.server.pool.answer_reads.is_paused(self)
+
+    def pause_buffering(self) -> None:
+        """Pause reading: the memory is in use for other answers."""
+        self.pause()
+
+    def resume_buffering(self) -> None:
+        """Resume reading."""
+        self.resume()
+
     def check_trailing_bytes(self) -> None:
         """Retire the connection if more than the answers of its exchange was received."""
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange of a connection that is closed."""
         self.retired = True
+        self._release_memory()
         exchange, self.exchange = self.exchange, None
         self.server.pool.lost(self)
         if exchange is not None:
--- a/pebblepass/daemon/upgrade.py
+++ b/pebblepass/daemon/upgrade.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from msgspec import Struct
 
 from pebblepass.daemon.client_server import ClientServer
 from pebblepass.daemon.connection_handover import ConnectionHandover
 from pebblepass.daemon.connection_pool import Pool
+from pebblepass.daemon.memory_account import MemoryAccount
 from pebblepass.daemon.router import RouterHost
 from pebblepass.decisions import ListKind, StateImported
 from pebblepass.discovery.client import DiscoveryClient
@@ -36,10 +37,9 @@
     pool: Pool
     discovery: DiscoveryClient
     clock: ClockOffset
-    command_memory: int
-    """Bytes for clients' long commands in a process that runs alone."""
-    reply_memory: int
-    """Bytes for pipelined requests in a process that runs alone."""
+    memory: MemoryAccount
+    account_bytes: Callable[[int], int]
+    """Returns the bytes of the memory account of one of so many processes."""
 
 
 class RouterUpgrade:
@@ -142,13 +142,12 @@
         return ConnectionCounts(self._parts.clients.connected, pool.limit)
 
     def limit_connections(self, limits: ConnectionLimits, alone: bool) -> None:
-        """Set the connection limits; of two processes each has half of the memory for clients."""
+        """Set the connection limits; two processes share the memory."""
         parts = self._parts
         if alone:
             parts.clients.on_handover = None
         parts.clients.limit, parts.pool.limit = limits.clients, limits.servers
-        parts.clients.budget.resize(parts.command_memory if alone else parts.command_memory // 2)
-        parts.clients.reply_memory.resize(parts.reply_memory if alone else parts.reply_memory // 2)
+        parts.memory.resize(parts.account_bytes(1 if alone else 2))
 
     def adopt_connection(self, sock: socket.socket, state: ConnectionState) -> None:
         """Serve a client's connection that another process has handed over."""
--- a/pebblepass/simulation/network.py
+++ b/pebblepass/simulation/network.py
@@ -152,6 +152,13 @@
             self.network.touch(direction.writer)
         return b"".join(parts)
 
+    def recv_into(self, buffer: Any, size: int = 0, flags: int = 0) -> int:
+        """Read into a buffer, as `recv` does."""
+        view = memoryview(buffer)
+        data = self.recv(size or len(view), flags)
+        view[: len(data)] = data
+        return len(data)
+
     def shutdown(self, how: int) -> None:
         """Close one or both directions."""
         if how in (socket.SHUT_WR, socket.SHUT_RDWR) and self.outgoing is not None:
--- a/pebblepass/wire/http.py
+++ b/pebblepass/wire/http.py
@@ -5,6 +5,7 @@
 import httptools
 
 MAX_HEADER_BYTES = 32 << 10
+USED_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"server-load", b"not-started"))
 
 
 class HttpError(Exception):
@@ -63,8 +64,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by httptools."""
-        if not self._complete:
-            self.headers[name.lower()] = value.strip(b" \t")  # httptools leaves trailing whitespace
+        name = name.lower()
+        # Only these: a header may have thousands of fields, each of which takes far more than its bytes.
+        if name in USED_HEADERS and not self._complete:
+            self.headers[name] = value.strip(b" \t")  # httptools leaves trailing whitespace
 
     def on_headers_complete(self) -> None:
         """Called by httptools; an interim response (1xx) is ignored."""
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -26,6 +26,9 @@
 MAX_SINGLE_READ_BYTES = 1024  # of a command that is parsed in one step
 MAX_CACHED_FIELDS_BYTES = 128  # of a list of fields whose parsed form is cached
 MAX_HEADER_BYTES = 16  # of a length line: type byte, digits and line end
+WORD_OBJECT_BYTES = 40  # of a word beside its bytes
+KEPT_WORDS = 4  # of a discarded command: its name, key, id and list
+USED_FIELDS = frozenset("cdrt")  # of a request's list; the others are only passed on
 UNLIMITED = 1 << 30  # commands of one call
 
 
@@ -38,7 +41,7 @@
 
 
 class Command(Struct):
-    """A request as received: the words to pass on, and the parsed list of fields."""
+    """A request as received: the words to pass on, and the fields that this router uses."""
 
     name: bytes
     key: bytes
@@ -79,6 +82,8 @@
         """Minimum number of bytes of the partial command; 0 if there is none."""
         self.has_unparsed = False
         """Whether bytes are left behind as many commands as the caller wanted; they are parsed by `take`."""
+        self.discarded: list[bytes] | None = None
+        """The last command of which a word was discarded, once it is complete."""
         self.framing_error = ""
         """Why the stream can't be parsed any further; empty as long as it can."""
 
@@ -92,6 +97,32 @@
         """The number of received bytes of the partial command."""
         return len(self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that the partial command takes: those received, and copies of its complete words."""
+        words = self._partial.words
+        return len(self._buffer) + sum(map(len, words)) + WORD_OBJECT_BYTES * len(words)
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether a word of the partial command was discarded."""
+        return self._partial.is_discarded
+
+    def discard_word(self) -> None:
+        """Drop what is received of the partial command but its first words; it is refused once complete.
+
+        The bytes to come of the current word are dropped too, and so is the content of all later words.
+        """
+        partial = self._partial
+        partial.is_discarded = True
+        partial.words[KEPT_WORDS:] = [b""] * (len(partial.words) - KEPT_WORDS)
+        end = min(partial.parsed_bytes + (partial.word_bytes or 0), len(self._buffer))
+        if partial.word_bytes is not None:
+            partial.word_bytes -= end - partial.parsed_bytes
+        partial.dropped_bytes += end
+        partial.parsed_bytes = 0
+        del self._buffer[:end]
+
     def feed(self, data: bytes, limit: int = UNLIMITED) -> list[list[bytes]]:
         """Add received bytes; return at most `limit` commands that are complete, up to an invalid one.
 
@@ -99,6 +130,8 @@
         """
         if self.needed_bytes or self.has_unparsed or not limit:
             self._buffer += data
+            if self._partial.is_discarded:
+                self.discard_word()
             return self._parse(self._buffer, limit)
         if (words := _parse_single_read(data)) is not None:
             return [words]
@@ -117,6 +150,8 @@
         try:
             while begin < len(data) and len(commands) < limit and (end := self._advance(data, begin)):
                 commands.append(self._partial.words)
+                if self._partial.is_discarded:
+                    self.discarded = self._partial.words
                 self._partial = _PartialCommand()
                 begin = end
         except FramingError as error:
@@ -128,7 +163,7 @@
             self._buffer += data[begin:]
         self.has_unparsed = bool(self._buffer) and len(commands) == limit
         self.needed_bytes = 0
-        if self._buffer and not self.has_unparsed:
+        if (self._buffer or self._partial.is_discarded) and not self.has_unparsed:
             self.needed_bytes = self._partial.needed_bytes(len(self._buffer))
         return commands
 
@@ -167,7 +202,8 @@
             if not b"\r\n".startswith(line_end):
                 raise FramingError("bulk string without its end")
             return False
-        partial.words.append(bytes(data[start:end]))
+        is_kept = not partial.is_discarded or len(partial.words) < KEPT_WORDS
+        partial.words.append(bytes(data[start:end]) if is_kept else b"")
         partial.parsed_bytes, partial.word_bytes = end + 2 - begin, None
         if partial.count > MAX_WORDS and partial.words[0].upper() != MULTI_GET_COMMAND:
             raise FramingError("invalid multibulk length")
@@ -177,7 +213,7 @@
 class _PartialCommand:
     """What is parsed of a command."""
 
-    __slots__ = ("count", "parsed_bytes", "word_bytes", "words")
+    __slots__ = ("count", "dropped_bytes", "is_discarded", "parsed_bytes", "word_bytes", "words")
 
     def __init__(self) -> None:
         self.count = 0
@@ -187,12 +223,16 @@
         """The bytes up to the end of the last complete word, or of the length line of the current one."""
         self.word_bytes: int | None = None
         """The announced length of the current word; None before its line is complete."""
+        self.is_discarded = False
+        """Whether bytes of it were dropped."""
+        self.dropped_bytes = 0
+        """How many of its bytes are in the buffer no longer."""
 
     def start_word(self, size: int) -> None:
         """Start a word of this length in bytes; raises FramingError if the command becomes too long."""
         if size > MAX_VALUE_BYTES:
             raise FramingError("value too long")
-        if self.parsed_bytes + size + 2 > MAX_VALUE_BYTES + MAX_NON_VALUE_BYTES:
+        if self.parsed_bytes + self.dropped_bytes + size + 2 > MAX_VALUE_BYTES + MAX_NON_VALUE_BYTES:
             raise FramingError("command too long")
         self.word_bytes = size
 
@@ -307,14 +347,17 @@
 def _parse_fields(info: bytes) -> tuple[Mapping[str, str], int]:
     if not info or not _is_plain_text(info):
         raise ValueError("id and list must be plain text")
-    try:
-        pairs = [part.split("=", 1) for part in info.decode("ascii").split(",")]
-        fields: dict[str, str] = dict(pairs)
-    except ValueError:
-        raise ValueError("expected a list of names and values") from None
-    if len(fields) < len(pairs) and sum(name == "d" for name, _ in pairs) > 1:
-        # Warning: with two timeouts, this router could apply one and advertise the other.
-        raise ValueError("d must stand once")
+    fields: dict[str, str] = {}
+    for part in info.decode("ascii").split(","):
+        name, separator, value = part.partition("=")
+        if not separator:
+            raise ValueError("expected a list of names and values")
+        if name == "d" and name in fields:
+            # Warning: with two timeouts, this router could apply one and advertise the other.
+            raise ValueError("d must stand once")
+        # Only these: a list may have thousands of fields, each of which would take far more than its bytes.
+        if name in USED_FIELDS:
+            fields[name] = value
     timeout = fields.get("d", "")
     if not timeout.isdecimal() or len(timeout) > 9:
         raise ValueError("d must be a number of milliseconds")
--- a/tests/wire/test_resp.py
+++ b/tests/wire/test_resp.py
@@ -159,3 +159,37 @@
     ]
     assert found == found_bytewise
     assert whole.framing_error == bytewise.framing_error
+
+
+@given(data=strategies.data(), value=strategies.binary(max_size=300))
+def test_commands_around_a_discarded_word_are_those_received(
+    data: strategies.DataObject, value: bytes
+) -> None:
+    long = [b"KV.SET", b"key", b"id", b"c=put,d=9", value]
+    stream = command(b"PING") + command(*long) + command(b"ECHO", value)
+    reader, received, position = CommandReader(), [], 0
+    while position < len(stream):
+        end = data.draw(strategies.integers(position + 1, len(stream)))
+        received += reader.feed(stream[position:end])
+        position = end
+        is_in_value = reader.needed_bytes and len(reader._partial.words) == 4
+        if is_in_value and data.draw(strategies.booleans()):
+            reader.discard_word()
+            assert reader.buffered_bytes <= 2
+    assert reader.framing_error == ""
+    kept = long if reader.discarded is None else [*long[:4], b""]
+    assert received == [[b"PING"], kept, [b"ECHO", value]]
+    assert reader.discarded is None or reader.discarded is received[1]
+
+
+def test_discarded_multi_get_keeps_neither_its_keys_nor_its_bytes() -> None:
+    reader = CommandReader(accepts_multi_get=True)
+    stream = command(b"KV.MGET", b"1000", *[b"key%d" % number for number in range(1000)], b"id", b"c=get,d=9")
+    reader.feed(stream[: len(stream) // 2])
+    reader.discard_word()
+    assert reader.buffered_bytes < 20
+    (words,) = reader.feed(stream[len(stream) // 2 :])
+    assert words is reader.discarded
+    assert len(words) == 1004
+    assert set(words[4:]) == {b""}
+    assert reader.needed_bytes == 0
