No attempt begins for a client whose end may stand behind unread bytes

Cause: an end of file arrives once what was sent before it is read. A poll of a connection that is not read found unread bytes and no end, and that counted as connected.

Change: unread bytes make the client's state unknown; they are read ahead, unparsed, up to its end, within 2 MB a connection and half of the memory account, before commands are dispatched and before an attempt begins. Where there is no memory for it, commands and first attempts are refused. When the parts were received is kept, as deadlines count from the last byte.

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -8,6 +8,7 @@
 
 from pebblepass.control.counters import Counters
 from pebblepass.daemon import deadline_propagation
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.deadlines import Deadline
 from pebblepass.daemon.exchange import Answer, Exchange, ValueSource
 from pebblepass.daemon.lag import LoopLag, after_poll
@@ -62,8 +63,8 @@
     def free_command(self) -> None:
         """Release the memory of the command, which the host no longer needs."""
 
-    def client_is_alive(self) -> bool:
-        """Whether the client is still connected, by a recent read or else by a poll."""
+    def client_state(self) -> ClientState:
+        """Return whether the client is still connected, by a recent read or else by a poll."""
 
     def detach_request(self) -> None:
         """Detach the request, which the host has dropped: the disconnect will not be reported for it."""
@@ -96,6 +97,9 @@
     def drop_request(self, request: OpenRequest) -> None:
         """Close a request whose client has disconnected."""
 
+    def end_unconfirmed(self, request: OpenRequest) -> None:
+        """End a request whose client may have disconnected, before a further attempt begins."""
+
     def handle_event(self, event: Event) -> None:
         """Give the decision module an event."""
 
@@ -186,8 +190,13 @@
         if not self.is_wanted:
             return False
         request = self._request
-        if request.reply.client_is_alive():
+        state = request.reply.client_state()
+        if state is ClientState.CONNECTED:
             return True
+        if state is ClientState.UNKNOWN:
+            self._host.end_unconfirmed(request)
+            self.withdraw()
+            return False
         # Warning: the client's connection is closed in the next iteration only; failed attempts would be
         # retried until then.
         self._host.drop_request(request)
--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -10,10 +10,11 @@
 
 from pebblepass.connection_limits.eviction import Activity
 from pebblepass.daemon.client_liveness import ClientLiveness
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.close_reasons import CloseCounts, CloseReason
 from pebblepass.daemon.command_turns import CommandTurns
 from pebblepass.daemon.deferred_commands import DeferredCommands
-from pebblepass.daemon.limited_reads import LimitedReads
+from pebblepass.daemon.limited_reads import READ_BYTES, LimitedReads
 from pebblepass.daemon.memory_account import SMALL_BYTES, MemoryAccount
 from pebblepass.daemon.partial_commands import PartialCommands
 from pebblepass.daemon.reply import Reply
@@ -35,6 +36,7 @@
 # For which a client counts as connected. The platform forbids attempts that begin over 0.1 s after a
 # disconnect.
 LIVENESS_TTL_S = 0.05
+READ_AHEAD_BYTES = 2 << 20  # of one connection, to find out whether its client is connected
 
 REFUSED = b"-BUSY\r\n"
 NS_PER_MS = 10**6
@@ -53,6 +55,7 @@
     partial_commands: PartialCommands
     turns: CommandTurns
     poll_socket: Callable[[int, int], int]
+    read_socket: Callable[[int, int], bytes | None]
     session_count: int
     shutting_down: bool
     closes: CloseCounts
@@ -175,27 +178,38 @@
         is_next = not (self.replies or reader.has_unparsed)
         may_be_long = len(data) > SMALL_BYTES or bool(self._partial_bytes)
         commands = reader.feed(data, self.server.turns.commands_per_read(is_next))
-        if len(commands) > 1 and self.client_has_disconnected():
-            # Warning: servers would execute the commands of a client that has disconnected after sending
-            # several.
-            self.abort(CloseReason.CLIENT_LEFT)
-            return
+        if reader.has_unparsed:
+            self._deferred.received(len(data), now, self.unread_ns)
+        is_wanted = True
+        if len(commands) > 1 or reader.has_unparsed:
+            if self.client_has_disconnected():
+                # Warning: servers would execute the commands of a client that has disconnected after sending
+                # several.
+                self.abort(CloseReason.CLIENT_LEFT)
+                return
+            is_wanted = self.client_state() is ClientState.CONNECTED
         if commands:
             self._has_sent_several = self.has_sent_command or len(commands) > 1
             self.has_sent_command = True
         for words in commands:
-            self.accept_command(words, may_be_long=may_be_long)
+            self.accept_command(words, may_be_long=may_be_long, is_wanted=is_wanted)
         if reader.has_unparsed:
-            self._deferred.received(now, self.unread_ns)
             self.update_reading()
         self.commands_parsed(bool(commands) or (starts_command and self.has_sent_command))
-        if len(self.replies) >= MAX_PIPELINE:
+        if self.is_full:
             self.update_reading()
 
-    def accept_command(self, words: list[bytes], is_deferred: bool = False, may_be_long: bool = True) -> None:
+    def accept_command(
+        self,
+        words: list[bytes],
+        is_deferred: bool = False,
+        may_be_long: bool = True,
+        is_wanted: bool = True,
+    ) -> None:
         """Add the reply of a command, and dispatch it or refuse it for want of memory.
 
-        `is_deferred`: it had to wait; `may_be_long`: whether it may be longer than SMALL_BYTES.
+        `is_deferred`: it had to wait; `may_be_long`: whether it may be longer than SMALL_BYTES; `is_wanted`:
+        False if its client may have disconnected.
         """
         reply = Reply(self)
         has_memory = words is not self.reader.discarded
@@ -209,7 +223,7 @@
             if has_memory:
                 reply.count_command(size)
         self.replies.append(reply)
-        self._dispatch(words, reply, is_deferred, has_memory)
+        self._dispatch(words, reply, is_deferred, has_memory and is_wanted)
 
     def commands_parsed(self, starts_command: bool) -> None:
         """Handle what is received behind the last command; `starts_command`: a command starts there."""
@@ -330,7 +344,7 @@
                 replies[0].write_buffered()
         if not replies:
             self.last_used_at = self.server.loop.time()
-        if not replies and self.reader.has_unparsed:
+        if self.reader.has_unparsed:
             self._deferred.wait()
         elif not replies and self._closes_when_idle and self.transport is not None:
             # Warning: closing with unread bytes would lose a request, and send a reset that may destroy the
@@ -369,12 +383,17 @@
         if size != before:
             self.memory.replies.take(size - before)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether it has so many open commands that it is not read any further."""
+        return len(self.replies) >= MAX_PIPELINE
+
     def update_reading(self) -> None:
         """Pause or resume reading, depending on whether another command can be accepted now."""
-        full = len(self.replies) >= MAX_PIPELINE
         # The next commands of a client that waits for a reply would have to wait for memory.
         is_short = self.reader.has_unparsed or (bool(self.replies) and self.server.turns.is_short)
-        should_read = not (self.blocked or is_short or self.reader.framing_error or full or self.in_handover)
+        is_busy = self.blocked or is_short or self.is_full
+        should_read = not (is_busy or self.reader.framing_error or self.in_handover)
         if should_read == self.liveness.is_reading or self.transport is None or self.transport.is_closing():
             return
         if should_read and self.client_has_disconnected():
@@ -382,6 +401,8 @@
             # even if it disconnected long ago.
             self.server.loop.call_soon(self.abort, CloseReason.CLIENT_LEFT)
             return
+        if should_read and self.reader.has_unparsed:
+            return  # commands were read ahead just now
         if should_read:
             self.liveness.resume(self.server.loop.time())
             self.transport.resume_reading()
@@ -394,20 +415,45 @@
         """Poll whether the client has closed or reset the connection, possibly after unread bytes."""
         if self.transport is None or self.transport.is_closing():
             return False
-        return self.liveness.poll_disconnect(self.server.loop.time)
-
-    def is_alive(self) -> bool:
-        """Whether the client is connected; polls if the last confirmation is over LIVENESS_TTL_S old."""
+        state = self.liveness.poll_state(self.server.loop.time)
+        if state is ClientState.UNKNOWN and not self.in_handover:
+            state = self._read_ahead()
+        return state is ClientState.DISCONNECTED
+
+    def _read_ahead(self) -> ClientState:
+        """Read what the client has sent up to its end, without parsing it, as far as there is memory."""
+        server, reader = self.server, self.reader
+        while True:
+            room = min(READ_AHEAD_BYTES - reader.buffered_bytes, server.memory.free_for_reading_ahead)
+            if room <= 0:
+                return ClientState.UNKNOWN
+            data = server.read_socket(self.liveness.descriptor, min(room, READ_BYTES))
+            if data is None:
+                return self.liveness.poll_state(server.loop.time)
+            if not data:
+                return ClientState.DISCONNECTED
+            now = server.loop.time()
+            unread_ns = self.liveness.record_read(now, len(data))
+            if not reader.framing_error:
+                reader.add(data)
+                self._deferred.received(len(data), now, unread_ns, is_read_ahead=True)
+
+    def client_state(self) -> ClientState:
+        """Return whether the client is connected; polls if the last confirmation is LIVENESS_TTL_S old."""
         if self._disconnect_detected or self.closed or self.transport is None or self.transport.is_closing():
-            return False
-        if self.server.loop.time() - self.liveness.last_alive_at() <= LIVENESS_TTL_S:
-            return True
+            return ClientState.DISCONNECTED
+        if self._is_confirmed:
+            return ClientState.CONNECTED
         if self.client_has_disconnected():
             self._disconnect_detected = True
             # Not in this call: the caller may be handling another request.
             self.server.loop.call_soon(self.abort, CloseReason.CLIENT_LEFT)
-            return False
-        return True
+            return ClientState.DISCONNECTED
+        return ClientState.CONNECTED if self._is_confirmed else ClientState.UNKNOWN
+
+    @property
+    def _is_confirmed(self) -> bool:
+        return self.server.loop.time() - self.liveness.last_alive_at() <= LIVENESS_TTL_S
 
     def has_unread(self) -> bool:
         """Whether a connected client has sent bytes that will be read in the next iteration of the loop."""
--- a/pebblepass/daemon/client_liveness.py
+++ b/pebblepass/daemon/client_liveness.py
@@ -5,6 +5,7 @@
 import select
 from collections.abc import Callable
 
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.request_hosts import PollTimes
 from pebblepass.daemon.socket_polling import READ_EVENTS, peer_has_closed
 from pebblepass.daemon.unread_age import UnreadAge
@@ -62,15 +63,19 @@
             return max(polled_at, self._confirmed_alive_at)
         return self._confirmed_alive_at
 
-    def poll_disconnect(self, clock: Callable[[], float]) -> bool:
-        """Poll whether the client has closed or reset the connection, possibly after unread bytes."""
+    def poll_state(self, clock: Callable[[], float]) -> ClientState:
+        """Poll whether the client is connected; unknown if bytes are unread.
+
+        An end of file is not seen until the bytes before it are in the kernel, which takes so many only.
+        """
         events = self._poll_socket(self.descriptor, READ_EVENTS)
         if peer_has_closed(events):
-            return True
+            return ClientState.DISCONNECTED
+        if events & select.POLLIN:
+            return ClientState.UNKNOWN
         self._confirmed_alive_at = clock()
-        if not events & select.POLLIN:
-            self._unread_age.emptied(self._confirmed_alive_at)
-        return False
+        self._unread_age.emptied(self._confirmed_alive_at)
+        return ClientState.CONNECTED
 
     def has_unread(self) -> bool:
         """Whether a connected client has sent bytes that the event loop has not read."""
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -49,7 +49,9 @@
         `memory`: the account of this process; None: one of MIN_ACCOUNT_BYTES.
         """
         self.loop, self.host, self._limit, self._rejected_limit = loop, host, limit, rejected
-        self.poll_socket: Callable[[int, int], int] = socket_poller(loop).poll
+        poller = socket_poller(loop)
+        self.poll_socket: Callable[[int, int], int] = poller.poll
+        self.read_socket: Callable[[int, int], bytes | None] = poller.read
         self.lag: PollTimes = host.lag
         self.shutting_down = False
         """Whether commands are rejected, as the router exits before it could reply to them."""
--- a/pebblepass/daemon/memory_account.py
+++ b/pebblepass/daemon/memory_account.py
@@ -23,6 +23,8 @@
 """Fraction of the free memory that may be counted: objects and the allocator take the rest."""
 RESERVED_FRACTION = 1 / 3
 """Maximum fraction of the account that is reserved for the answer that was first to need memory."""
+READ_AHEAD_FRACTION = 0.5
+"""Fraction of the account for bytes that are read only to find out whether the client is connected."""
 PIPELINE_FRACTION = 0.8
 """Fraction of the account beyond which no further pipelined command is dispatched."""
 MIN_ACCOUNT_BYTES = 1 << 20
@@ -77,6 +79,11 @@
         """Bytes that any use may count now; negative if more than the total are in use."""
         return self._total - self.reserved - self.used
 
+    @property
+    def free_for_reading_ahead(self) -> int:
+        """Bytes that may be read although no command of them can be dispatched yet."""
+        return self.free - int(self._total * (1 - READ_AHEAD_FRACTION))
+
     @property
     def is_short(self) -> bool:
         """Whether all but the reserved bytes are in use."""
--- a/pebblepass/daemon/multi_get/batch_exchange.py
+++ b/pebblepass/daemon/multi_get/batch_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pebblepass.daemon import deadline_propagation
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.exchange import Answer, Exchange, ValueSource
 from pebblepass.daemon.lag import after_poll
 from pebblepass.daemon.multi_get.interfaces import BatchRegistry
@@ -73,9 +74,13 @@
         """
         if self._registry.host.now() >= deadline_propagation.latest_start(self._multi_get.deadline):
             return False
-        if self._multi_get.reply.client_is_alive():
+        state = self._multi_get.reply.client_state()
+        if state is ClientState.CONNECTED:
             return True
-        self._registry.client_disconnected(self._multi_get)
+        if state is ClientState.UNKNOWN:
+            self._multi_get.expire()
+        else:
+            self._registry.client_disconnected(self._multi_get)
         return False
 
     def request_bytes(self, address: Address) -> bytes:
--- a/pebblepass/daemon/multi_get/key_reply.py
+++ b/pebblepass/daemon/multi_get/key_reply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.exchange import ValueSource
 from pebblepass.daemon.multi_get.interfaces import KeyOwner
 from pebblepass.multi_get import KeyState
@@ -70,9 +71,9 @@
     def free_command(self) -> None:
         """Do nothing: no memory is reserved for a single key."""
 
-    def client_is_alive(self) -> bool:
+    def client_state(self) -> ClientState:
         """Return whether the command's client is still connected."""
-        return self._multi_get.reply.client_is_alive()
+        return self._multi_get.reply.client_state()
 
     def detach_request(self) -> None:
         """End this key, whose client has disconnected; its connection closes the rest of the command."""
--- a/pebblepass/daemon/reply.py
+++ b/pebblepass/daemon/reply.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any, Protocol
 
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.close_reasons import CloseReason
 from pebblepass.daemon.exchange import ValueSource
 from pebblepass.daemon.memory_account import ANSWER_BYTES, MemoryAccount
@@ -32,8 +33,8 @@
     def flush(self) -> None:
         """Start the next reply."""
 
-    def is_alive(self) -> bool:
-        """Whether the client is connected."""
+    def client_state(self) -> ClientState:
+        """Return whether the client is connected."""
 
     def abort(self, reason: CloseReason) -> None:
         """Abort the connection."""
@@ -130,9 +131,9 @@
         session = self._connection.session
         return b"$-1\r\n" if session is None or session.protocol == 2 else b"_\r\n"
 
-    def client_is_alive(self) -> bool:
-        """Whether the client is still connected, by a recent read or else by a poll."""
-        return self._connection.is_alive()
+    def client_state(self) -> ClientState:
+        """Return whether the client is still connected, by a recent read or else by a poll."""
+        return self._connection.client_state()
 
     def detach_request(self) -> None:
         """Detach the request, which the host has dropped: the disconnect will not be reported for it."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -52,6 +52,7 @@
 
 NS_PER_MS = 1_000_000
 FAILED = b"-ERR failed\r\n"
+REFUSED = b"-BUSY\r\n"
 PATH = "RESP2 client"
 
 log = logging.getLogger("pebblepass")
@@ -150,7 +151,7 @@
             reply.send(b"-ERR duplicate id\r\n")
             self.record_rejection(command, failed="duplicate id")
         elif self.free_capacity <= 0:
-            reply.send(b"-BUSY\r\n")
+            reply.send(REFUSED)
             self.record_rejection(command, refused="open requests")
         else:
             now = self.now()
@@ -242,6 +243,17 @@
         self.forget_if_settled(request)
         self.handle_event(ClientDisconnected(request.id))
 
+    def end_unconfirmed(self, request: OpenRequest) -> None:
+        """End a request whose client may have disconnected, before a further attempt begins.
+
+        It is refused if that would be its first attempt; else one may have run, and it fails.
+        """
+        if request.attempts <= 1:
+            self._answer(request.id, REFUSED, refused="unread commands")
+        else:
+            self._answer(request.id, FAILED, failed="unread commands")
+        self.handle_event(ClientDisconnected(request.id))
+
     def end_open(self) -> None:
         """Fail every open request now, with a reply, as the router is about to be killed."""
         if self.multi_gets is not None:
--- a/pebblepass/daemon/socket_polling.py
+++ b/pebblepass/daemon/socket_polling.py
@@ -1,13 +1,14 @@
 """Polls for events that the event loop has not dispatched yet, and accepts connections from a backlog.
 
-A simulated event loop has no kernel sockets. It implements these operations itself, as `poll_socket` and
-`accept_pending`.
+A simulated event loop has no kernel sockets. It implements these operations itself, as `poll_socket`,
+`read_socket` and `accept_pending`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import functools
+import os
 import select
 import socket
 from collections.abc import Callable
@@ -29,11 +30,14 @@
     def read_poll(self, descriptor: int) -> Callable[[], int]:
         """Return a function that polls one descriptor for READ_EVENTS, and is cheaper than `poll`."""
 
+    def read(self, descriptor: int, size: int) -> bytes | None:
+        """Read up to `size` bytes without waiting; None if nothing is unread, empty at the end or a reset."""
+
 
 def socket_poller(loop: asyncio.AbstractEventLoop) -> SocketPoller:
     """Return the poller for the sockets of this loop."""
     poll_socket = getattr(loop, "poll_socket", None)
-    return KernelPoller() if poll_socket is None else _SimulatedPoller(poll_socket)
+    return KernelPoller() if poll_socket is None else _SimulatedPoller(poll_socket, loop.read_socket)  # type: ignore[attr-defined]
 
 
 class KernelPoller:
@@ -63,16 +67,34 @@
 
         return poll_descriptor
 
+    def read(self, descriptor: int, size: int) -> bytes | None:
+        """Read up to `size` bytes without waiting; None if nothing is unread, empty at the end or a reset."""
+        return _read(os.read, descriptor, size)
+
 
 class _SimulatedPoller:
     """Polls the sockets of a simulated loop."""
 
-    def __init__(self, poll_socket: Callable[[int, int], int]) -> None:
-        self.poll = poll_socket
+    def __init__(
+        self, poll_socket: Callable[[int, int], int], read_socket: Callable[[int, int], bytes]
+    ) -> None:
+        self.poll, self._read_socket = poll_socket, read_socket
 
     def read_poll(self, descriptor: int) -> Callable[[], int]:
         return functools.partial(self.poll, descriptor, READ_EVENTS)
 
+    def read(self, descriptor: int, size: int) -> bytes | None:
+        return _read(self._read_socket, descriptor, size)
+
+
+def _read(read: Callable[[int, int], bytes], descriptor: int, size: int) -> bytes | None:
+    try:
+        return read(descriptor, size)
+    except (BlockingIOError, InterruptedError):
+        return None
+    except OSError:
+        return b""
+
 
 def peer_has_closed(events: int) -> bool:
     """Return whether these events mean that the peer sends nothing more, or that the connection is broken."""
--- a/pebblepass/simulation/clock.py
+++ b/pebblepass/simulation/clock.py
@@ -130,6 +130,10 @@
         pending_events |= select.POLLRDHUP if direction.closed or direction.reset else 0
         return pending_events & events | (select.POLLERR | select.POLLHUP if direction.reset else 0)
 
+    def read_socket(self, descriptor: int, size: int) -> bytes:
+        """Read from a simulated descriptor without waiting, as `os.read` does."""
+        return self.network.by_fd[descriptor].recv(size)
+
     def accept_pending(self, listener: Any, on_accept: Callable[[socket.socket], None], limit: int) -> int:
         """Accept up to `limit` connections from a listener's backlog; returns how many."""
         listening = self.network.by_fd[listener.fileno()]
--- a/pebblepass/wire/resp.py
+++ b/pebblepass/wire/resp.py
@@ -139,6 +139,11 @@
             return [words]
         return self._parse(data, limit)
 
+    def add(self, data: bytes) -> None:
+        """Add received bytes that are not parsed before `take`."""
+        self._buffer += data
+        self.has_unparsed = True
+
     def take(self, limit: int) -> list[list[bytes]]:
         """Return at most `limit` further commands of the bytes received before, as `feed` does."""
         return self._parse(self._buffer, limit)
--- a/tests/daemon/test_disconnected_clients.py
+++ b/tests/daemon/test_disconnected_clients.py
@@ -517,3 +517,53 @@
         assert len(polls) <= 1.0 / 0.05 + 2
 
     run_with_router(test)
+
+
+def test_commands_behind_more_than_there_is_memory_for_are_refused_and_never_sent() -> None:
+    """Guards against requests that are sent although their client may have closed behind unread bytes."""
+
+    async def test(harness: RouterHarness) -> None:
+        harness.caches["a"].on_request = harness.caches["a"].serve
+        client = await harness.client()
+        client.send_request("w", "put", value=b"v")
+        await harness.wait(0.1)
+        names = [f"r{number}" for number in range(12_000)]
+        client.transport.write(b"".join(encode_request(name, key=name.ljust(300, "x")) for name in names))
+        await harness.wait(1.0)
+        harness.origin.serve(harness.origin.connection_of("w"), "w")
+        await harness.wait(5.0)
+        replies = client.replies()
+        assert replies[0] == b"value of w"
+        assert len(replies) == 1 + len(names)
+        served = {reply[len(b"value of ") :].decode() for reply in replies[1:] if reply != b"-BUSY"}
+        assert len(served) < len(names)
+        assert served == set(harness.caches["a"].request_ids)
+        harness.assert_nothing_left()
+
+    run_with_router(test, memory_mb=24.0, sockets=1024.0)
+
+
+@pytest.mark.parametrize(("earlier_attempts", "answer"), [(0, b"-BUSY"), (1, b"-ERR failed")])
+def test_no_attempt_begins_for_a_client_whose_end_is_not_known(earlier_attempts: int, answer: bytes) -> None:
+    """Guards against an attempt that begins seconds after its client closed behind unread bytes."""
+
+    async def test(harness: RouterHarness) -> None:
+        client, memory = await harness.client(), harness.daemon.clients.memory
+        client.send_request("r")
+        await harness.settle()
+        (connection,) = harness.daemon.clients._connections
+        memory.replies.take(64 << 20)  # so that nothing can be read ahead
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+        connection.liveness.is_reading = False
+        client.send_request("unread")
+        await harness.wait(0.2)
+        request = harness.host.request("r")
+        request.attempts = earlier_attempts
+        attempt = harness.host.attempt(request, "a")
+        assert not attempt.may_begin()
+        await harness.settle()
+        assert client.replies() == [answer]
+        memory.replies.take(-(64 << 20))
+
+    run_with_router(test)
--- a/tests/daemon/test_disconnects_and_shutdown.py
+++ b/tests/daemon/test_disconnects_and_shutdown.py
@@ -13,6 +13,7 @@
 from pebblepass.daemon import attempts
 from pebblepass.daemon.client_connection import MAX_PIPELINE, ClientConnection
 from pebblepass.daemon.client_server import SWEEP_INTERVAL_S
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.client_timeouts import IDLE_TIMEOUT_S
 from pebblepass.daemon.daemon import ACCEPT_S, ANSWER_SLACK_S, KILL_SLACK_S, PARTIAL_COMMANDS_S
 from pebblepass.simulation.network import CountedSocket
@@ -480,7 +481,9 @@
 def test_random_disconnects_detect_a_router_that_sends_afterwards(fault: str) -> None:
     with ExitStack() as stack:
         # Disabled in both cases: each attempt checks for its client once more, which hides the fault.
-        stack.enter_context(patch.object(ClientConnection, "is_alive", lambda self: True))
+        stack.enter_context(
+            patch.object(ClientConnection, "client_state", lambda self: ClientState.CONNECTED)
+        )
         if fault == "waits":
             stack.enter_context(patch.object(attempts.Attempt, "is_wanted", True))
             stack.enter_context(patch.object(attempts.OpenRequest, "withdraw", lambda self: None))
--- a/tests/daemon/test_event_orders.py
+++ b/tests/daemon/test_event_orders.py
@@ -30,6 +30,7 @@
     router,
     server_connection,
 )
+from pebblepass.daemon.client_state import ClientState
 from pebblepass.daemon.daemon import ACCEPT_S, Daemon
 from pebblepass.decisions import Outcome, ServerState
 from tests.virtual_router import PeerConnection, RouterHarness, VirtualClient, run_with_router
@@ -425,7 +426,11 @@
 @contextmanager
 def begins_without_polling() -> Iterator[None]:
     """Fault: an attempt begins without a poll of its client's socket."""
-    with patch.object(client_connection.ClientConnection, "is_alive", lambda self: not self.closed):
+
+    def state(self: client_connection.ClientConnection) -> ClientState:
+        return ClientState.DISCONNECTED if self.closed else ClientState.CONNECTED
+
+    with patch.object(client_connection.ClientConnection, "client_state", state):
         yield
 
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from pebblepass.emulators.ports import take_port
 from tests.processes import end_by_sigterm, spawn
@@ -158,7 +158,16 @@
     raise OSError("reset")
 
 
-def entry(peer: Peer, name: str, kind: str = "std", lifecycle: str = "up") -> dict[str, Any]:
+class ListedServer(Protocol):
+    """A server that an endpoint list can name."""
+
+    port: int
+
+    def close(self) -> None:
+        """Stop listening."""
+
+
+def entry(peer: ListedServer, name: str, kind: str = "std", lifecycle: str = "up") -> dict[str, Any]:
     """Return the entry of a server in discovery's endpoint list."""
     return {
         "instanceId": name,
@@ -305,8 +314,8 @@
 @contextmanager
 def running_router(
     folder: Path,
-    caches: dict[str, Peer],
-    origin: Peer | None = None,
+    caches: Mapping[str, ListedServer],
+    origin: ListedServer | None = None,
     limits: dict[str, float] | None = None,
     settings: dict[str, Any] | None = None,
     known: list[dict[str, Any]] | None = None,
