The soak has clients that stop, stall, don't read or flood, and checks the memory

Change: eight of nine seeds play one kind of bad client with 1,024 descriptors and 32 MB; the kernel's peak is a check, with its broken variant of the history. Bad clients' requests are not recorded, so in their runs the figures may have more requests than were recorded; the other checks stay.

--- a/tests/overload/bad_clients.py
+++ b/tests/overload/bad_clients.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -161,6 +162,8 @@
         discarding.cancel()
 
 
+ID_PREFIX = "bad"  # of all their requests
+
 PICTURES: dict[str, Picture] = {
     "half-write": half_write,
     "slow-write": slow_write,
@@ -187,6 +190,8 @@
 def main(arguments: list[str]) -> None:
     """Play the picture that the arguments name."""
     picture, port, clients, seconds = arguments
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     asyncio.run(play(picture, int(port), int(clients), float(seconds)))
 
 
--- a/tests/overload/run.py
+++ b/tests/overload/run.py
@@ -7,6 +7,7 @@
 
 import resource
 import socket
+import subprocess
 import sys
 import tempfile
 import threading
@@ -106,6 +107,19 @@
     return http_answer(200, b"v")
 
 
+def start_bad_clients(picture: str, port: int, clients: int, seconds: float) -> subprocess.Popen[str]:
+    """Start a process with bad clients of one picture."""
+    module = "tests.overload.bad_clients"
+    arguments = [picture, str(port), str(clients), str(seconds)]
+    return spawn([sys.executable, "-m", module, *arguments], cwd=ROOT)
+
+
+def peak_memory_kb(process_id: int) -> int:
+    """Return the peak of a process's resident memory, as the kernel records it."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    return int(status.split("VmHWM:")[1].split()[0])
+
+
 def client_limit(descriptors: int) -> int:
     """Return how many bad clients are served beside the ordinary ones with this many descriptors."""
     return allocate(descriptors, own_descriptors(0, inherited=False)).served - SPARE_CONNECTIONS
@@ -120,16 +134,7 @@
     store = Peer(serve_store, is_http=True)
     limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors}
     with running_router(folder, caches, store, limits=limits) as router:
-        bad = [
-            spawn(
-                [
-                    sys.executable,
-                    *f"-m tests.overload.bad_clients {name} {router.port} {clients} {seconds}".split(),
-                ],
-                cwd=ROOT,
-            )
-            for name, clients in pictures.items()
-        ]
+        bad = [start_bad_clients(name, router.port, clients, seconds) for name, clients in pictures.items()]
         try:
             _observe(router, observation, seconds)
         finally:
@@ -148,8 +153,7 @@
         due = time.monotonic() + OBSERVER_PERIOD_S
         time.sleep(OBSERVER_PERIOD_S)
         observation.observer_delay_s = max(observation.observer_delay_s, time.monotonic() - due)
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    observation.peak_kb = int(status.split("VmHWM:")[1].split()[0])
+    observation.peak_kb = peak_memory_kb(router.process.pid)
 
 
 def allow_descriptors() -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -48,6 +48,10 @@
     log: str = ""
     max_descriptors: int = 0
     descriptor_limit: int = 0
+    peak_memory_kb: int = 0
+    memory_limit_kb: int = 0
+    has_bad_clients: bool = False
+    """Whether there were clients whose requests are not recorded."""
     figures: list[dict[str, int]] = field(default_factory=list)
     """The rows of the router's closing snapshot."""
     observer_delay_s: float = 0.0
@@ -95,6 +99,8 @@
         broken.append("an exception in the log")
     if history.max_descriptors > history.descriptor_limit:
         broken.append(f"{history.max_descriptors} of {history.descriptor_limit} descriptors")
+    if history.peak_memory_kb > history.memory_limit_kb:
+        broken.append(f"{history.peak_memory_kb} of {history.memory_limit_kb} KB of memory")
     return broken
 
 
@@ -109,6 +115,7 @@
     served = sum(not answer.startswith(b"-") for answer in answered)
     if sum(row["served"] for row in history.figures) < served:
         broken.append(f"figures have fewer than the {served} requests that were served")
-    if sum(row["taken"] for row in history.figures) > len(history.requests):
+    taken = sum(row["taken"] for row in history.figures)
+    if taken > len(history.requests) and not history.has_bad_clients:
         broken.append(f"figures have more than the {len(history.requests)} requests that were sent")
     return broken
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,8 @@
 from pathlib import Path
 
 from pebblepass.emulators.ports import take_port
+from tests.overload.bad_clients import ID_PREFIX
+from tests.overload.run import peak_memory_kb, serve_cache, start_bad_clients
 from tests.processes import kill_process
 from tests.soak.history import Attempt, History, Request, broken_rules
 from tests.sockets import (
@@ -42,6 +44,21 @@
 )
 
 DESCRIPTORS = 256
+MEMORY_MB = 80
+LEAST_MEMORY_MB = 32
+BAD_CLIENT_DESCRIPTORS = 1024  # in runs with bad clients, as many as hold more than the least memory
+BAD_CLIENT_LOAD_S = 1.5
+BAD_CLIENTS = {
+    "half-write": 300,
+    "slow-write": 300,
+    "unread-pipeline": 200,
+    "unread-answer": 300,
+    "slow-read": 200,
+    "many-fields": 200,
+    "error-flood": 12,
+    "name-flood": 2,
+}
+"""How many clients a run has that stop, write or read slowly, don't read or flood."""
 LONGEST_DEADLINE_S = 2.0
 KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # from SIGTERM; the platform kills no earlier
 RECEIVE_TIMEOUT_S = 5.0  # of a client, longer than any request takes
@@ -63,11 +80,23 @@
     """Fraction of the requests to the first cache server that it never answers."""
     late_s: float
     """Maximum delay of the second cache server."""
+    bad_clients: str = ""
+    """One of BAD_CLIENTS, or empty in runs without them."""
+
+    @property
+    def descriptors(self) -> int:
+        """The router's limit."""
+        return BAD_CLIENT_DESCRIPTORS if self.bad_clients else DESCRIPTORS
+
+    @property
+    def memory_mb(self) -> int:
+        """The router's limit."""
+        return LEAST_MEMORY_MB if self.bad_clients else MEMORY_MB
 
 
 def make_plan(seed: int) -> Plan:
     """Draw a plan."""
-    rng = random.Random(seed)
+    rng, kinds = random.Random(seed), ("", *BAD_CLIENTS)
     return Plan(
         clients=rng.randint(4, 12),
         crowd=rng.choice((0, 0, 200, 300)),
@@ -75,6 +104,7 @@
         signal_gaps_s=(rng.uniform(0, 0.3), rng.uniform(0, 0.3)),
         hang_share=rng.choice((0.0, 0.05, 0.3)),
         late_s=rng.choice((0.0, 0.02, 0.3)),
+        bad_clients=kinds[seed % len(kinds)],
     )
 
 
@@ -113,9 +143,14 @@
 class Soak:
     """One run."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
-        self.seed, self.plan, self._folder = seed, make_plan(seed), folder
-        self.history = History(descriptor_limit=DESCRIPTORS)
+    def __init__(self, seed: int, folder: Path, plan: Plan, module: str) -> None:
+        """`module`: the router's; a broken variant in tests of the soak."""
+        self.seed, self.plan, self._folder, self._module = seed, plan, folder, module
+        self.history = History(
+            descriptor_limit=plan.descriptors,
+            memory_limit_kb=plan.memory_mb << 10,
+            has_bad_clients=bool(plan.bad_clients),
+        )
         self._lock, self._stopped = threading.Lock(), threading.Event()
         self._rng = random.Random(seed)
         self._port = 0
@@ -149,10 +184,14 @@
             "name": "n1",
             "listen": f"127.0.0.1:{self._port}",
             "discovery": f"127.0.0.1:{discovery.peer.port}",
-            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": DESCRIPTORS},
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.plan.memory_mb,
+                "sockets": self.plan.descriptors,
+            },
             "settings": SETTINGS,
         }
-        return start_router(self._folder, config, PEBBLEPASS_OPERATOR=str(operator))
+        return start_router(self._folder, config, module=self._module, PEBBLEPASS_OPERATOR=str(operator))
 
     def _load_and_end(self, process: subprocess.Popen[str]) -> None:
         log = threading.Thread(target=self._copy_log, args=(process,))
@@ -160,7 +199,8 @@
         workers.append(threading.Thread(target=self._observe, args=(process,)))
         for thread in (log, *workers):
             thread.start()
-        self._stopped.wait(self.plan.load_s)
+        bad_clients = self._start_bad_clients()
+        self._stopped.wait(self.plan.load_s + BAD_CLIENT_LOAD_S * len(bad_clients))
         crowd = self._connect_crowd()
         terminated_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
@@ -178,6 +218,14 @@
             thread.join(WAIT_TIMEOUT_S)
         for connection in crowd:
             connection.close()
+        for started in bad_clients:
+            kill_process(started)
+
+    def _start_bad_clients(self) -> list[subprocess.Popen[str]]:
+        name = self.plan.bad_clients
+        if not name:
+            return []
+        return [start_bad_clients(name, self._port, BAD_CLIENTS[name], WAIT_TIMEOUT_S)]
 
     def _copy_log(self, process: subprocess.Popen[str]) -> None:
         assert process.stderr is not None
@@ -194,6 +242,8 @@
             with suppress(OSError):
                 count = len(os.listdir(f"/proc/{process.pid}/fd"))
                 self.history.max_descriptors = max(self.history.max_descriptors, count)
+            with suppress(OSError, IndexError):
+                self.history.peak_memory_kb = peak_memory_kb(process.pid)
             self.history.observer_delay_s = max(self.history.observer_delay_s, delay_s)
 
     def _connect_crowd(self) -> list[socket.socket]:
@@ -211,11 +261,15 @@
             self.history.attempts.append(Attempt(request_id.decode(), time.monotonic()))
             return self._rng.random()
 
-    def _hang_or_answer(self, _: socket.socket, words: list[bytes]) -> bytes | None:
+    def _hang_or_answer(self, connection: socket.socket, words: list[bytes]) -> bytes | None:
+        if is_bad(words[2]):
+            return serve_cache(connection, words)
         draw = self._record_attempt(words[2])
         return None if draw < self.plan.hang_share else hit(words[2])
 
-    def _answer_late(self, _: socket.socket, words: list[bytes]) -> bytes:
+    def _answer_late(self, connection: socket.socket, words: list[bytes]) -> bytes:
+        if is_bad(words[2]):
+            return serve_cache(connection, words)
         draw = self._record_attempt(words[2])
         self._stopped.wait(draw * self.plan.late_s)
         return hit(words[2])
@@ -223,7 +277,7 @@
     def _serve_origin(self, _: socket.socket, message: list[bytes]) -> bytes:
         headers = dict(line.split(b": ", 1) for line in message[2].splitlines() if b": " in line)
         request_id = headers.get(b"Request-Id", b"")
-        if request_id:
+        if request_id and not is_bad(request_id):
             self._record_attempt(request_id)
         if request_id.startswith(b"once"):
             with self._lock:
@@ -289,10 +343,15 @@
         return True
 
 
-def run_soak(seed: int) -> History:
-    """Run one soak in a folder of its own."""
+def is_bad(request_id: bytes) -> bool:
+    """Return whether this is a request of a bad client, which is not recorded."""
+    return request_id.startswith(ID_PREFIX.encode())
+
+
+def run_soak(seed: int, plan: Plan | None = None, module: str = "pebblepass.daemon") -> History:
+    """Run one soak in a folder of its own; `plan`: in place of the seed's; `module`: the router's."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
-        return Soak(seed, Path(folder)).run()
+        return Soak(seed, Path(folder), plan or make_plan(seed), module).run()
 
 
 def main(arguments: list[str], show: Callable[[str], None] = print) -> int:
@@ -307,6 +366,8 @@
         broken_seeds += bool(broken)
         show(
             f"seed {seed}: {len(history.requests)} requests, {answered} answered,"
+            f" {make_plan(seed).bad_clients or 'no'} bad clients, {history.peak_memory_kb} of"
+            f" {history.memory_limit_kb} KB,"
             f" exit code {history.exit_code}, {broken or 'no rule broken'}"
         )
     show(f"{last - first + 1} seeds, {total} requests, {broken_seeds} seeds with broken rules")
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -21,6 +21,7 @@
     history.attempts = [Attempt("served", 1.1), Attempt("left", 1.1), Attempt("written", 1.1)]
     history.executed_writes["written"] = 1
     history.exit_code, history.descriptor_limit, history.max_descriptors = 0, 256, 256
+    history.memory_limit_kb = history.peak_memory_kb = 80 << 10
     history.figures = [{"taken": 4, "served": 2, "refused": 1, "failed": 0, "gone": 1, "open": 0}]
     return history
 
@@ -61,6 +62,10 @@
     history.max_descriptors = 257
 
 
+def use_more_memory(history: History) -> None:
+    history.peak_memory_kb += 1
+
+
 def leave_open(history: History) -> None:
     history.figures[0]["open"] = 1
 
@@ -87,6 +92,7 @@
     (be_killed_on_an_idle_machine, "exit code -9"),
     (log_exception, "an exception in the log"),
     (leak_descriptors, "257 of 256 descriptors"),
+    (use_more_memory, "81921 of 81920 KB of memory"),
     (leave_open, "figures do not add up"),
     (miscount, "figures do not add up"),
     (count_too_few, "figures have fewer than the 2 requests that were served"),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.soak.history import broken_rules
-from tests.soak.run import make_plan, run_soak
+from tests.soak.run import BAD_CLIENTS, make_plan, run_soak
 
 SEEDS = range(1, 17)
 
@@ -14,6 +14,7 @@
     plans = [make_plan(seed) for seed in SEEDS]
     assert {bool(plan.crowd) for plan in plans} == {False, True}
     assert {bool(plan.hang_share) for plan in plans} == {False, True}
+    assert {plan.bad_clients for plan in plans} == {"", *BAD_CLIENTS}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -279,16 +279,18 @@
     config: Mapping[str, Any],
     inherited: tuple[int, ...] = (),
     checkout: Path = ROOT,
+    module: str = "pebblepass.daemon",
     **environ: str,
 ) -> subprocess.Popen[str]:
     """Start the router of a checkout.
 
-    `inherited`: the descriptors that it inherits; `environ`: additional environment variables.
+    `inherited`: the descriptors that it inherits; `module`: its module, or that of a broken variant;
+    `environ`: additional environment variables.
     """
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     return spawn(
-        [sys.executable, "-m", "pebblepass.daemon"],
+        [sys.executable, "-m", module],
         cwd=checkout,
         env={**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(folder), **environ},
         stderr=subprocess.PIPE,
