A shutdown ends once nothing is owed, although a client never pauses

The platform's SIGKILL, 0.7 s after the longest deadline, found the router in its exit.

Cause: a connection that always has something unread never becomes idle, so the shutdown used all of its time (0.65 s after the longest deadline), and 50 ms were left for the exit.

Change: from 0.55 s on, when every open request has got its answer, the shutdown ends as soon as no request is open and no reply unwritten.

--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -476,6 +476,12 @@
         """Whether it has commands without a complete reply."""
         return bool(self.replies) or self.reader.has_unparsed
 
+    @property
+    def owes_replies(self) -> bool:
+        """Whether there are replies that the kernel has not accepted."""
+        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return bool(self.replies) or unsent
+
     @property
     def activity(self) -> Activity:
         """Its state, which decides whether it may be evicted."""
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -172,6 +172,11 @@
         """Number of connections, including those whose commands are rejected."""
         return len(self._connections)
 
+    @property
+    def owes_replies(self) -> bool:
+        """Whether there are replies that the kernel has not accepted."""
+        return any(connection.owes_replies for connection in self._connections)
+
     def figures(self) -> ClientFigures:
         """Return what the connections wait for."""
         connections = list(self._connections)
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -259,10 +259,10 @@
         | ACCEPT_S | idle connections are closed, and only pending ones are accepted |
         | PARTIAL_COMMANDS_S | none is accepted; those with a partial command are closed too |
         | PARTIAL_COMMANDS_S + SERVED_SHARE of the longest deadline | new commands are rejected |
-        | longest deadline + ANSWER_SLACK_S | open requests fail |
+        | longest deadline + ANSWER_SLACK_S | open requests fail; it returns once none is left |
         | longest deadline + KILL_SLACK_S, or no client left | it returns; `stop` aborts the rest |
         """
-        started_at, upgrade = self._loop.time(), self._upgrade
+        started_at, upgrade, is_ended = self._loop.time(), self._upgrade, False
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
         if upgrade is None or not upgrade.terminate():
             await asyncio.sleep(ACCEPT_S)
@@ -284,9 +284,12 @@
                     self._loop.time() >= started_at + PARTIAL_COMMANDS_S + longest * SERVED_SHARE
                 )
             if self._loop.time() >= started_at + longest + ANSWER_SLACK_S:
+                if is_ended and not (self.host.open_request_count or self.clients.owes_replies):
+                    return  # only clients that never pause are left
                 # Warning: a request may have a later deadline than its class has, but SIGKILL would end it
                 # without a reply.
                 self.host.end_open()
+                is_ended = True
 
     def stop(self) -> None:
         """Abort every connection, as an exit of the process does; nothing is sent from now on."""
--- a/tests/daemon/test_command_turns.py
+++ b/tests/daemon/test_command_turns.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
+from pebblepass.daemon.client_connection import ClientConnection
 from pebblepass.daemon.command_turns import MAX_COMMANDS_PER_READ, MAX_DISPATCHES_PER_TURN
-from tests.sockets import bulk
+from pebblepass.daemon.daemon import ANSWER_SLACK_S, DRAIN_STEP_S
+from tests.sockets import SETTINGS, bulk
 from tests.virtual_router import SETTLE_ITERATIONS, RouterHarness, encode_request, run_with_router
 
 FLOOD = 5000
@@ -40,3 +44,19 @@
         await harness.wait(1.0)
 
     run_with_router(test)
+
+
+def test_shutdown_ends_before_the_kill_although_a_client_never_pauses() -> None:
+    """Guards against a shutdown that uses all its time for a flood, and is killed in its exit."""
+
+    async def test(harness: RouterHarness) -> None:
+        longest = max(cls["giveUpNs"] for cls in SETTINGS["classes"]) / 1e9
+        flooding = await harness.client()
+        flooding.transport.write(UNKNOWN)
+        await harness.wait(0.1)
+        started_at = harness.loop.time()
+        with patch.object(ClientConnection, "has_unread", lambda self: True):
+            await harness.daemon.drain()
+        assert harness.loop.time() - started_at <= longest + ANSWER_SLACK_S + 4 * DRAIN_STEP_S
+
+    run_with_router(test)
