The memory account costs a read less

Change: what the account compares with is computed when its total changes, and is_short is an attribute; one read may bring 128 KiB, so that an answer of 64 KiB takes one.

--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -94,6 +94,7 @@
 
         `empty_at`: a loop time at which no bytes were unread; minus infinity if no such time is known.
         """
+        super().__init__(server.memory)
         self.server = server
         self._handed_over = handed_over
         self.transport: asyncio.Transport | None = None
@@ -325,11 +326,6 @@
         """The account of memory."""
         return self.server.memory
 
-    @property
-    def is_short_of_memory(self) -> bool:
-        """Whether to read little at a time."""
-        return self.server.memory.is_short
-
     def write(self, data: bytes) -> None:
         """Write to the client."""
         if self.transport is not None:
--- a/pebblepass/daemon/command_turns.py
+++ b/pebblepass/daemon/command_turns.py
@@ -60,7 +60,8 @@
         """
         if self._waiting or self._short:
             return int(is_next)
-        return min(self._memory.free_answers + is_next, MAX_COMMANDS_PER_READ)
+        commands = self._memory.free_answers + is_next
+        return commands if commands < MAX_COMMANDS_PER_READ else MAX_COMMANDS_PER_READ
 
     def wait(self, connection: DeferringConnection) -> None:
         """Let a connection with deferred commands wait for its turn."""
--- a/pebblepass/daemon/limited_reads.py
+++ b/pebblepass/daemon/limited_reads.py
@@ -5,7 +5,9 @@
 import asyncio
 from abc import abstractmethod
 
-READ_BYTES = 64 << 10
+from pebblepass.daemon.memory_account import MemoryAccount
+
+READ_BYTES = 128 << 10
 """Maximum length of one read."""
 SHORT_OF_MEMORY_READ_BYTES = 4 << 10
 """The same while memory is short."""
@@ -18,10 +20,9 @@
 class LimitedReads(asyncio.BufferedProtocol):
     """A protocol whose subclass receives the bytes by `data_received`."""
 
-    @property
-    @abstractmethod
-    def is_short_of_memory(self) -> bool:
-        """Whether to read little at a time."""
+    def __init__(self, memory: MemoryAccount) -> None:
+        """`memory`: the account that tells whether memory is short."""
+        self._memory = memory
 
     @abstractmethod
     def data_received(self, data: bytes) -> None:
@@ -29,7 +30,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of the next read; called by the event loop."""
-        return _SHORT_BUFFER if self.is_short_of_memory else _BUFFER
+        return _SHORT_BUFFER if self._memory.is_short else _BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on what was read; called by the event loop."""
--- a/pebblepass/daemon/memory_account.py
+++ b/pebblepass/daemon/memory_account.py
@@ -51,10 +51,7 @@
     def take(self, size: int) -> None:
         """Count `size` bytes that are in use now; a negative size releases them."""
         self.used += size
-        account = self._account
-        account.used += size
-        if size < 0:
-            account.notify_release()
+        self._account.change(size)
 
 
 class MemoryAccount:
@@ -62,32 +59,33 @@
 
     def __init__(self, total: int) -> None:
         """`total`: bytes that may be counted."""
-        self._total = total
         self.used = 0
         self.commands = MemoryCounter(self, "commands")
         self.replies = MemoryCounter(self, "replies")
         self.answers = MemoryCounter(self, "answers")
         self._on_release: list[Callable[[], None]] = []
+        self.is_short = False
+        """Whether all but the reserved bytes are in use."""
+        self._set_total(total)
 
-    @property
-    def reserved(self) -> int:
+    def _set_total(self, total: int) -> None:
+        self._total = total
+        self.reserved = min(MAX_ANSWER_VALUE_BYTES, int(total * RESERVED_FRACTION))
         """Bytes that only the first answer that needs memory may use, so that one can always be received."""
-        return min(MAX_ANSWER_VALUE_BYTES, int(self._total * RESERVED_FRACTION))
+        self._shared = total - self.reserved
+        self._pipeline_limit = int(self._shared * PIPELINE_FRACTION)
+        self._read_ahead_limit = self._shared - int(total * (1 - READ_AHEAD_FRACTION))
+        self.is_short = self.used >= self._shared
 
     @property
     def free(self) -> int:
-        """Bytes that any use may count now; negative if more than the total are in use."""
-        return self._total - self.reserved - self.used
+        """Bytes that any use may count now; negative if more are in use."""
+        return self._shared - self.used
 
     @property
     def free_for_reading_ahead(self) -> int:
         """Bytes that may be read although no command of them can be dispatched yet."""
-        return self.free - int(self._total * (1 - READ_AHEAD_FRACTION))
-
-    @property
-    def is_short(self) -> bool:
-        """Whether all but the reserved bytes are in use."""
-        return self.free <= 0
+        return self._read_ahead_limit - self.used
 
     @property
     def is_exhausted(self) -> bool:
@@ -97,8 +95,7 @@
     @property
     def free_answers(self) -> int:
         """For how many further pipelined requests, with the longest answers, there is memory."""
-        limit = int((self._total - self.reserved) * PIPELINE_FRACTION)
-        return max(limit - self.used, 0) // ANSWER_BYTES
+        return max(self._pipeline_limit - self.used, 0) // ANSWER_BYTES
 
     def uses(self) -> list[MemoryUse]:
         """Return how much each use takes."""
@@ -109,12 +106,18 @@
         """Call back whenever memory is released."""
         self._on_release.append(callback)
 
-    def notify_release(self) -> None:
-        """Tell those who wait that memory was released."""
-        for callback in self._on_release:
-            callback()
+    def change(self, size: int) -> None:
+        """Count `size` bytes more, or fewer if it is negative; called by the counters."""
+        self.used += size
+        self.is_short = self.used >= self._shared
+        if size < 0:
+            self._notify_release()
 
     def resize(self, total: int) -> None:
         """Change the total; what is in use stays."""
-        self._total = total
-        self.notify_release()
+        self._set_total(total)
+        self._notify_release()
+
+    def _notify_release(self) -> None:
+        for callback in self._on_release:
+            callback()
--- a/pebblepass/daemon/server_connection.py
+++ b/pebblepass/daemon/server_connection.py
@@ -50,6 +50,7 @@
     """One connection, with at most one exchange at a time, so that no exchange waits for another's answer."""
 
     def __init__(self, server: Server) -> None:
+        super().__init__(server.pool.memory)
         self.server = server
         self.exchange: Exchange | None = None
         self.transport: asyncio.Transport | None = None
@@ -259,11 +260,6 @@
             self._buffered_bytes = 0
             self.server.pool.answer_reads.release(self)
 
-    @property
-    def is_short_of_memory(self) -> bool:
-        """Whether to read little at a time."""
-        return self.server.pool.memory.is_short
-
     @property
     def waits_for_memory(self) -> bool:
         """Whether it is not read for want of memory, which is no fault of its server."""
