A write whose client left is not run again when its id comes again

Cause: an id is known while an attempt is in flight. Once the store had answered, a request whose client had gone was forgotten, and the same id was new.

Measured: the new test fails before (the store receives w twice, both classes).

--- a/pebblepass/daemon/attempts.py
+++ b/pebblepass/daemon/attempts.py
@@ -109,7 +109,7 @@
 
     __slots__ = (  # noqa: RUF023
         "id", "command", "reply", "deadline", "is_multi_get_key",
-        "attempts", "attempts_in_flight", "closed", "streaming", "accounted", "unsent",
+        "attempts", "attempts_in_flight", "closed", "streaming", "accounted", "unsent", "was_sent",
     )  # fmt: skip
 
     def __init__(
@@ -124,7 +124,7 @@
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
         self.is_multi_get_key = is_multi_get_key
         self.attempts = self.attempts_in_flight = 0
-        self.closed = self.streaming = self.accounted = False
+        self.closed = self.streaming = self.accounted = self.was_sent = False
         self.unsent: list[Attempt] | None = None
         """Attempts that had to wait before they could be sent, if there are any."""
 
@@ -279,6 +279,7 @@
     def written(self) -> None:
         """Count it as sent."""
         self._host.counters.sends += 1
+        self._request.was_sent = True
 
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's reply with a long value's header."""
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from pebblepass.control.counters import Counters
+from pebblepass.daemon.abandoned_writes import AbandonedWrites
 from pebblepass.daemon.attempts import Attempt, OpenRequest, ReplySlot
 from pebblepass.daemon.caches import CacheConnection
 from pebblepass.daemon.connection_pool import Pool
@@ -23,6 +24,7 @@
     AttemptEnded,
     BatchArrived,
     ClientDisconnected,
+    Effect,
     Event,
     EventLoopLagged,
     Fail,
@@ -89,6 +91,8 @@
         self.counters = Counters(cls.name for cls in settings.classes)
         self._health_check_timeout = min(cls.latency_target for cls in settings.classes)
         self._requests: dict[str, OpenRequest] = {}
+        self._not_repeatable = {cls.name for cls in settings.classes if cls.effect is not Effect.IDEMPOTENT}
+        self._abandoned = AbandonedWrites(max(cls.deadline for cls in settings.classes))
         self._origins: set[str] = set()
         self.kinds: dict[str, str] = {}
         """The kinds of the servers on the list, by id."""
@@ -145,7 +149,7 @@
         fields = command.fields
         if fields["c"] not in self.classes:
             reply.send(b"-ERR unknown class\r\n")
-        elif self.is_known(request_id):
+        elif self.is_known(request_id) or self._abandoned.contains(request_id, self.now()):
             # Warning: two requests with the same id would share attempts, and one would get the other's
             # answer.
             reply.send(b"-ERR duplicate id\r\n")
@@ -236,6 +240,8 @@
                 self.ledger.record_failed(request.id, self.now(), failed)
             else:
                 self.ledger.record_disconnected(request.id, self.now())
+        if request.was_sent and not request.closed and request.command.fields["c"] in self._not_repeatable:
+            self._abandoned.record(request.id, self.now())
         request.closed = request.accounted = True
         if isinstance(request.reply.source, Attempt):
             request.reply.source.client_disconnected()
--- a/tests/daemon/test_disconnected_clients.py
+++ b/tests/daemon/test_disconnected_clients.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from pebblepass.daemon.abandoned_writes import MAX_IDS, AbandonedWrites
 from pebblepass.daemon.client_connection import MAX_PIPELINE, ClientConnection
 from pebblepass.daemon.connection_pool import REUSE_DELAY_S
 from pebblepass.daemon.multi_get.batch_exchange import BatchExchange
@@ -567,3 +568,51 @@
         memory.replies.take(-(64 << 20))
 
     run_with_router(test)
+
+
+@pytest.mark.parametrize("cls", ["once", "put"])
+def test_write_whose_client_left_is_not_sent_again_when_its_id_comes_again(cls: str) -> None:
+    """Guards against an effect twice, as a client comes again after its write ran and it had left."""
+
+    async def test(harness: RouterHarness) -> None:
+        leaving = await harness.client()
+        leaving.send_request("w", cls, value=b"v")
+        await harness.wait(0.1)
+        leaving.transport.abort()
+        await harness.settle()
+        harness.origin.serve(harness.origin.connection_of("w"), "w")
+        await harness.wait(0.2)
+        harness.assert_nothing_left()
+        again = await harness.client()
+        again.send_request("w", cls, value=b"v")
+        again.send_request("other", cls, value=b"v")
+        await harness.wait(0.2)
+        assert harness.origin.request_ids == ["w", "other"]
+        assert again.replies() == [b"-ERR duplicate id"]
+
+    run_with_router(test)
+
+
+def test_write_that_was_not_sent_before_its_client_left_may_come_again() -> None:
+    async def test(harness: RouterHarness) -> None:
+        harness.origin.on_request = harness.origin.serve
+        leaving = await harness.client()
+        leaving.send_request("w", "once", value=b"v")
+        leaving.transport.abort()
+        await harness.wait(0.2)
+        again = await harness.client()
+        again.send_request("w", "once", value=b"v")
+        await harness.wait(0.2)
+        assert harness.origin.request_ids == ["w"]
+        assert again.replies() == [b"value of w"]
+
+    run_with_router(test)
+
+
+def test_ids_of_abandoned_writes_are_bounded_in_time_and_number() -> None:
+    abandoned = AbandonedWrites(retention_ns=10)
+    for number in range(MAX_IDS + 1):
+        abandoned.record(f"w{number}", now=0)
+    assert not abandoned.contains("w0", now=5)
+    assert abandoned.contains("w1", now=5)
+    assert not abandoned.contains("w1", now=10)
