A write in flight at the old process of an upgrade runs again at the new one: a test

Not tried before.

Change: a test over real processes: a client leaves the old process while the store holds its write, and comes again with the same id at the new one.

--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -31,6 +31,7 @@
     get,
     hit,
     http_answer,
+    put,
     start_router,
 )
 
@@ -323,3 +324,40 @@
         connect_more()
         eventually(lambda: descriptor_count(new) > limit // 3, "many connections at the new process")
         assert max(peak, descriptor_count(new)) <= limit
+
+
+def sent_to(store: Peer, request_id: str) -> int:
+    """Return how often a request was sent to the store."""
+    return sum(f"Request-Id: {request_id}\r\n".encode() in message[2] for message in store.requests)
+
+
+def test_write_in_flight_at_the_old_process_is_not_run_again_at_the_new_one(tmp_path: Path) -> None:
+    """Guards against an effect twice, as a client leaves one process and comes again at the other."""
+    may_answer = threading.Event()
+
+    def serve_store(_: socket.socket, message: list[bytes]) -> bytes:
+        if b"Request-Id: w\r\n" in message[2]:
+            may_answer.wait(WAIT_TIMEOUT_S)
+        return http_answer(200, b"receipt")
+
+    store = Peer(serve_store, is_http=True)
+    with site(tmp_path, {"s1": Peer(lambda _, words: hit(b"v"))}) as upgrade:
+        upgrade.discovery.instances.append(entry(store, "origin", "origin"))
+        old, _ = upgrade.start()
+        write = put("w", cls="once", d=LONG_DEADLINE_MS)
+        leaving = upgrade.client()
+        leaving.send(write)
+        eventually(
+            lambda: any(b"Request-Id: w\r\n" in sent[2] for sent in store.requests), "the write is sent"
+        )
+        upgrade.start()
+        old.send_signal(signal.SIGTERM)
+        leaving.close()
+        again = upgrade.client()
+        again.send(write + get("r"))
+        may_answer.set()
+        assert again.read_reply().startswith(b"-")
+        assert again.read_reply() == b"v"
+        assert sent_to(store, "w") == 1
+        again.close()
+    store.close()
