The old process of an upgrade tells the new one which writes must not run again

Cause: ids in flight are known to the process that accepted them, and the new process serves while the old one still has open requests.

Change: from the moment the successor serves, the predecessor sends the ids of open and abandoned writes that aren't safe to repeat, and of each new one before it is sent; the successor refuses them for the longest deadline. Hello tells that the message is understood (a field that older versions ignore, left out by default), so that versions mix as before. The frozen bytes literals get b'W', the letter of the new message; all others are unchanged.

--- a/pebblepass/daemon/abandoned_writes.py
+++ b/pebblepass/daemon/abandoned_writes.py
@@ -25,6 +25,11 @@
             del self._expires_at[next(iter(self._expires_at))]
         self._expires_at[request_id] = now + self._retention_ns
 
+    def request_ids(self, now: int) -> list[str]:
+        """Return the ids that are remembered; `now` is in nanoseconds."""
+        self._remove_expired(now)
+        return list(self._expires_at)
+
     def contains(self, request_id: str, now: int) -> bool:
         """Return whether an id is remembered; `now` is in nanoseconds."""
         if not self._expires_at:
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Protocol, cast
 
 from pebblepass.control.counters import Counters
@@ -93,6 +93,8 @@
         self._requests: dict[str, OpenRequest] = {}
         self._not_repeatable = {cls.name for cls in settings.classes if cls.effect is not Effect.IDEMPOTENT}
         self._abandoned = AbandonedWrites(max(cls.deadline for cls in settings.classes))
+        self.on_unrepeatable_write: Callable[[str], None] | None = None
+        """Called with the id of each write that must not be sent again, if another process has to know."""
         self._origins: set[str] = set()
         self.kinds: dict[str, str] = {}
         """The kinds of the servers on the list, by id."""
@@ -173,12 +175,26 @@
         request_id, command = request.id, request.command
         self._requests[request_id] = request
         fields = command.fields
+        if self.on_unrepeatable_write is not None and fields["c"] in self._not_repeatable:
+            self.on_unrepeatable_write(request_id)
         tenant, key, write = fields.get("t"), command.key.decode(), command.value is not None
         retry = fields.get("r") == "1"
         self.handle_event(
             RequestArrived(request_id, fields["c"], request.deadline, tenant, key, write, retry)
         )
 
+    def unrepeatable_writes(self) -> list[str]:
+        """Return the ids of writes that must not be sent again: open ones, and those of clients that left."""
+        requests = self._requests.values()
+        open_ids = [r.id for r in requests if r.command.fields["c"] in self._not_repeatable]
+        return [*open_ids, *self._abandoned.request_ids(self.now())]
+
+    def import_writes(self, request_ids: Iterable[str]) -> None:
+        """Refuse requests with these ids for a while: another process may have sent them."""
+        now = self.now()
+        for request_id in request_ids:
+            self._abandoned.record(request_id, now)
+
     def is_known(self, request_id: str) -> bool:
         """Whether this is the id of a request without a final answer, or with attempts in flight."""
         return request_id in self._requests or (
--- a/pebblepass/daemon/upgrade.py
+++ b/pebblepass/daemon/upgrade.py
@@ -149,6 +149,16 @@
         parts.clients.limit, parts.pool.limit = limits.clients, limits.servers
         parts.memory.resize(parts.account_bytes(1 if alone else 2))
 
+    def announce_writes(self, announce: Callable[[list[str]], None]) -> None:
+        """Pass on the ids of the writes that must not be sent again: those known now, then each new one."""
+        host = self._parts.host
+        announce(host.unrepeatable_writes())
+        host.on_unrepeatable_write = lambda request_id: announce([request_id])
+
+    def import_writes(self, request_ids: tuple[str, ...]) -> None:
+        """Refuse writes with these ids for a while: the predecessor may have sent them."""
+        self._parts.host.import_writes(request_ids)
+
     def adopt_connection(self, sock: socket.socket, state: ConnectionState) -> None:
         """Serve a client's connection that another process has handed over."""
         sock.setblocking(False)
--- a/pebblepass/handover/handover.py
+++ b/pebblepass/handover/handover.py
@@ -20,8 +20,10 @@
     Message,
     Ready,
     Rejected,
+    SentWrites,
     StateChunk,
     split_snapshot,
+    split_writes,
 )
 from pebblepass.handover.router_snapshot import MAX_SNAPSHOT_BYTES
 from pebblepass.handover.states import (
@@ -58,6 +60,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._started: asyncio.Future[None] = loop.create_future()
         self._reported: ConnectionCounts | None = None
+        self._successor_accepts_writes = False
 
     @property
     def can_send_connections(self) -> bool:
@@ -120,7 +123,7 @@
         self._snapshot.clear()
         self._channel = Channel(self._loop, sock, self._receive_from_predecessor, self._predecessor_lost)
         self._timer = self._loop.call_later(SNAPSHOT_TIMEOUT_S, self._as_successor, SuccessorEvent.TIMED_OUT)
-        self._channel.send(Hello())
+        self._channel.send(Hello(accepts_writes=True))
 
     def _predecessor_lost(self) -> None:
         channel, self._channel = self._channel, None
@@ -139,6 +142,8 @@
                     self._host.limit_connections(limits, alone=False)
             case Connections():
                 self._adopt(message, sockets)
+            case SentWrites():
+                self._host.import_writes(message.request_ids)
             case _:
                 raise HandoverError("unexpected kind of message from the predecessor")
 
@@ -219,12 +224,20 @@
     def _receive_from_successor(self, message: Message, sockets: list[socket.socket]) -> None:
         match message:
             case Hello():
+                self._successor_accepts_writes = message.accepts_writes
                 self._as_predecessor(PredecessorEvent.SUCCESSOR_CONNECTED)
             case Ready():
                 self._as_predecessor(PredecessorEvent.SUCCESSOR_READY)
+                if self._successor_accepts_writes:
+                    self._host.announce_writes(self._send_writes)
             case _:
                 raise HandoverError("unexpected kind of message from the successor")
 
+    def _send_writes(self, request_ids: list[str]) -> None:
+        if self._channel is not None:
+            for message in split_writes(request_ids):
+                self._channel.send(message)
+
     def _as_predecessor(self, event: PredecessorEvent) -> None:
         for action in self._predecessor.handle(event):
             self._perform_as_predecessor(action)
--- a/pebblepass/handover/host.py
+++ b/pebblepass/handover/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from pebblepass.handover.descriptor_split import ConnectionLimits
@@ -36,5 +37,11 @@
     def limit_connections(self, limits: ConnectionLimits, alone: bool) -> None:
         """Apply connection limits; `alone`: whether this process may use all of the router's memory."""
 
+    def announce_writes(self, announce: Callable[[list[str]], None]) -> None:
+        """Pass on the ids of the writes that must not be sent again: those known now, then each new one."""
+
+    def import_writes(self, request_ids: tuple[str, ...]) -> None:
+        """Refuse writes with these ids for a while: the predecessor may have sent them."""
+
     def adopt_connection(self, sock: socket.socket, state: ConnectionState) -> None:
         """Serve a client connection that was handed over."""
--- a/pebblepass/handover/messages.py
+++ b/pebblepass/handover/messages.py
@@ -17,6 +17,8 @@
 MAX_CHUNK_BYTES = 48 << 10  # of a snapshot in one message; far below the size of a socket buffer
 MAX_PARTIAL_COMMAND = 4 << 10  # bytes of an incomplete command that are handed over with its connection
 MAX_CONNECTIONS_PER_MESSAGE = 16
+MAX_WRITES_PER_MESSAGE = 100
+MAX_WRITE_ID_CHARACTERS = 256  # a longer id is not passed on, so that a message stays small
 
 Count = Annotated[int, Meta(ge=0)]
 
@@ -24,6 +26,9 @@
 class Hello(Struct, frozen=True):
     """Sent by a successor when it has connected."""
 
+    accepts_writes: bool = False
+    """Whether it understands `SentWrites`; older versions do not."""
+
 
 class Rejected(Struct, frozen=True):
     """The predecessor already has another successor."""
@@ -68,11 +73,18 @@
     states: tuple[ConnectionState, ...]
 
 
-Message = Hello | Rejected | StateChunk | Ready | ConnectionCounts | Connections
+class SentWrites(Struct, frozen=True):
+    """Ids of writes that the predecessor may have sent, and that must not be sent again."""
+
+    request_ids: tuple[str, ...]
+
 
+Message = Hello | Rejected | StateChunk | Ready | ConnectionCounts | Connections | SentWrites
 
-class _HelloBody(Struct, frozen=True):
+
+class _HelloBody(Struct, frozen=True, omit_defaults=True):
     version: object
+    accepts_writes: bool = False
 
 
 class _CountsBody(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -94,13 +106,14 @@
 _HELLO = msgspec.json.Decoder(_HelloBody)
 _COUNTS = msgspec.json.Decoder(_CountsBody)
 _CONNECTIONS = msgspec.json.Decoder(tuple[_ConnectionRow, ...])
+_WRITES = msgspec.json.Decoder(tuple[str, ...])
 
 
 def encode(message: Message) -> bytes:
     """Encode a message."""
     match message:
         case Hello():
-            return b"H" + msgspec.json.encode(_HelloBody(VERSION))
+            return b"H" + msgspec.json.encode(_HelloBody(VERSION, message.accepts_writes))
         case Rejected():
             return b"N"
         case StateChunk():
@@ -111,6 +124,8 @@
             return b"D" + msgspec.json.encode(_CountsBody(message.clients, message.servers))
         case Connections():
             return b"C" + msgspec.json.encode([_connection_row(state) for state in message.states])
+        case SentWrites():
+            return b"W" + msgspec.json.encode(message.request_ids)
 
 
 def decode(data: bytes) -> Message:
@@ -130,6 +145,13 @@
     ]
 
 
+def split_writes(request_ids: list[str]) -> list[SentWrites]:
+    """Split the ids of sent writes into messages; without those of over MAX_WRITE_ID_CHARACTERS."""
+    short = [request_id for request_id in request_ids if len(request_id) <= MAX_WRITE_ID_CHARACTERS]
+    starts = range(0, len(short), MAX_WRITES_PER_MESSAGE)
+    return [SentWrites(tuple(short[start : start + MAX_WRITES_PER_MESSAGE])) for start in starts]
+
+
 def _decode(kind: bytes, body: bytes) -> Message:
     match kind:
         case b"H":
@@ -145,14 +167,16 @@
             return ConnectionCounts(counts.clients, counts.servers)
         case b"C":
             return Connections(tuple(_connection_state(row) for row in _CONNECTIONS.decode(body)))
+        case b"W":
+            return SentWrites(_WRITES.decode(body))
     raise HandoverError(f"unknown kind of message: {kind!r}")
 
 
 def _decode_hello(body: bytes) -> Hello:
-    version = _HELLO.decode(body).version
-    if version != VERSION:
-        raise HandoverError(f"the other process uses version {version} of the handover protocol")
-    return Hello()
+    hello = _HELLO.decode(body)
+    if hello.version != VERSION:
+        raise HandoverError(f"the other process uses version {hello.version} of the handover protocol")
+    return Hello(hello.accepts_writes)
 
 
 def _connection_row(state: ConnectionState) -> _ConnectionRow:
--- a/tests/handover/test_messages.py
+++ b/tests/handover/test_messages.py
@@ -11,6 +11,8 @@
 from pebblepass.handover.errors import HandoverError
 from pebblepass.handover.messages import (
     MAX_CHUNK_BYTES,
+    MAX_WRITE_ID_CHARACTERS,
+    MAX_WRITES_PER_MESSAGE,
     ConnectionCounts,
     Connections,
     ConnectionState,
@@ -18,10 +20,12 @@
     Message,
     Ready,
     Rejected,
+    SentWrites,
     StateChunk,
     decode,
     encode,
     split_snapshot,
+    split_writes,
 )
 from pebblepass.handover.router_snapshot import RouterSnapshot, decode_snapshot, encode_snapshot
 from pebblepass.handover.state_aging import STATE_LIFETIME_NS, age_state, age_weight
@@ -41,7 +45,8 @@
     counts,
 )
 messages = strategies.one_of(
-    strategies.just(Hello()),
+    strategies.builds(Hello, strategies.booleans()),
+    strategies.builds(SentWrites, strategies.lists(strategies.text(), max_size=4).map(tuple)),
     strategies.just(Rejected()),
     strategies.just(Ready()),
     strategies.builds(ConnectionCounts, counts, counts),
@@ -109,6 +114,20 @@
     return RouterState(servers, (LimitState("acme", 12.5, calls),), origin, ((7, 3.0),), (("acme", 9.0),))
 
 
+def test_successor_of_an_older_version_is_sent_no_writes() -> None:
+    """Guards against a message that an older version rejects, which would end the upgrade."""
+    assert encode(Hello()) == b'H{"version":1}'
+    assert decode(b'H{"version":1}') == Hello(accepts_writes=False)
+    assert decode(b'H{"version":1,"accepts_writes":true}') == Hello(accepts_writes=True)
+
+
+def test_ids_of_writes_are_split_into_short_messages() -> None:
+    short = [f"w{number}" for number in range(MAX_WRITES_PER_MESSAGE + 1)]
+    split = split_writes([*short, "x" * (MAX_WRITE_ID_CHARACTERS + 1)])
+    assert [len(message.request_ids) for message in split] == [MAX_WRITES_PER_MESSAGE, 1]
+    assert [name for message in split for name in message.request_ids] == short
+
+
 def test_snapshot_in_chunks_is_decoded_with_the_readers_clock() -> None:
     started = 90 * SECOND
     first_server = server_health("s1").__class__(
