A process that comes up at the address of one that has gone is not taken for it

Cause: a process was told by its address alone. Connections to a server with a later startedAtMs were used on, and two listed servers at one address were both dialled.

Change: a later start retires the connections, dials and waiting attempts of the process before; of two servers at one address, nothing is sent to the one that started earlier.

--- a/pebblepass/daemon/connection_pool.py
+++ b/pebblepass/daemon/connection_pool.py
@@ -26,6 +26,7 @@
 
 A second answer may come milliseconds later, see `answer_times`.
 """
+START_TOLERANCE_NS = 5_000_000  # by which the same start may differ between two lists, as it is rounded
 TIMER_ROUNDING_S = 0.001  # event loops round to the nearest millisecond
 
 
@@ -54,22 +55,41 @@
         self._limit, self._dial_timeout = limit, dial_timeout
         self._idle_limit = idle_close * IDLE_CLOSE_FRACTION
         self._servers: dict[str, Server] = {}
+        self._newest_at: dict[Address, Server] = {}  # the listed server that started last
         self._connection_count = 0
         self._closed = False
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def list_server(self, server_id: str, address: Address, connect: Callable[[Server], Connection]) -> None:
-        """Add a server, or change its address; `connect` makes the protocol of a connection to it."""
+    def list_server(
+        self, server_id: str, address: Address, connect: Callable[[Server], Connection], started: int = 0
+    ) -> str | None:
+        """Add a server, or change its address; `connect` makes the protocol of a connection to it.
+
+        `started`: when its process started, in nanoseconds of any one clock. Connections to the process
+        before are not used again, although its successor may listen at the same address. Returns the id of
+        the server that has gone, if two servers are listed at the address: this one or the other.
+        """
         server = self._servers.get(server_id)
         if server is None:
-            self._servers[server_id] = Server(self, server_id, address, connect)
-            return
-        if server.address != address or server.connect is not connect:
+            server = self._servers[server_id] = Server(self, server_id, address, connect, started)
+            return self._find_superseded(server)
+        has_restarted = started - server.started > START_TOLERANCE_NS
+        if server.address != address or server.connect is not connect or has_restarted:
             # Set before `_retire` ends exchanges, as the handler of an outcome may submit another exchange.
-            server.address, server.connect = address, connect
+            server.address, server.connect, server.started = address, connect, started
             server.answer_times = AnswerTimes()
             self._retire(server)
         server.is_listed = True
+        return self._find_superseded(server)
+
+    def _find_superseded(self, server: Server) -> str | None:
+        """Return the server that started earlier, if another one is listed at the same address."""
+        newest = self._newest_at.get(server.address, server)
+        is_other = newest is not server and newest.is_listed and newest.address == server.address
+        if is_other and server.started < newest.started:
+            return server.id
+        self._newest_at[server.address] = server
+        return newest.id if is_other and server.started > newest.started else None
 
     def unlist_server(self, server_id: str) -> None:
         """Remove a server that drains or is removed: exchanges in flight finish, and waiting ones end now."""
@@ -322,6 +342,8 @@
     def _forget_if_unused(self, server: Server) -> None:
         if not server.is_listed and not server.connection_count:
             self._servers.pop(server.id, None)
+            if self._newest_at.get(server.address) is server:
+                del self._newest_at[server.address]
             if server.wake_timer is not None:
                 server.wake_timer.cancel()
 
--- a/pebblepass/daemon/router.py
+++ b/pebblepass/daemon/router.py
@@ -341,13 +341,17 @@
     def _list_servers(self, listing: EndpointList) -> None:
         is_complete = listing.change.kind is not ListKind.DELTA
         removed = dict.fromkeys(self._pool.listed()) if is_complete else {}
+        superseded: list[str] = []
         for server in listing.change.servers:
             if server.state is ServerState.READY:
                 removed.pop(server.id, None)
                 is_origin = server.kind == self.settings.origin_kind
                 (self._origins.add if is_origin else self._origins.discard)(server.id)
                 connect = OriginConnection if is_origin else CacheConnection
-                self._pool.list_server(server.id, listing.addresses[server.id], connect)
+                address = listing.addresses[server.id]
+                gone = self._pool.list_server(server.id, address, connect, server.started)
+                if gone is not None:
+                    superseded.append(gone)
                 self.kinds[server.id] = server.kind
             else:
                 removed[server.id] = None
@@ -356,6 +360,9 @@
             self.kinds.pop(server_id, None)
             if self.multi_gets is not None:
                 self.multi_gets.server_left(server_id)
+        for server_id in superseded:
+            log.warning("server %s: another server has its address, nothing is sent to it", server_id)
+            self._pool.unlist_server(server_id)
 
     def discovery_failed(self) -> None:
         """Report to the decision module that a call of discovery failed."""
--- a/pebblepass/daemon/server_connection.py
+++ b/pebblepass/daemon/server_connection.py
@@ -297,8 +297,11 @@
         server_id: str,
         address: Address,
         connect: Callable[[Server], Connection],
+        started: int = 0,
     ):
+        """`started`: when its process started, in nanoseconds of any one clock."""
         self.pool, self.id, self.address, self.connect = pool, server_id, address, connect
+        self.started = started
         self.is_listed = True
         self.idle: list[Connection] = []
         """Idle connections; the one used last is at the end and reused first, so that the others time out."""
