--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -16,7 +16,7 @@
 from pebblepass.daemon.deferred_commands import DeferredCommands
 from pebblepass.daemon.limited_reads import READ_BYTES, LimitedReads
 from pebblepass.daemon.memory_account import SMALL_BYTES, MemoryAccount
-from pebblepass.daemon.partial_commands import PartialCommands
+from pebblepass.daemon.partial_commands import CommandInProgress, PartialCommands
 from pebblepass.daemon.reply import Reply
 from pebblepass.daemon.request_hosts import Host, MultiKeyHost, PollTimes
 from pebblepass.wire.resp import (
@@ -103,7 +103,7 @@
         self.last_used_at = server.loop.time()
         self.reader = CommandReader(server.multi_gets is not None)
         self.session: ClientSession | None = None
-        self._partial_bytes = 0  # of the memory account: the long command being received
+        self._in_progress = CommandInProgress(self.reader, server.memory, server.partial_commands)
         # The timeout of the first command starts when the connection is accepted.
         self.command_started_at = self.last_used_at
         self.has_sent_command = self._has_sent_several = False
@@ -154,7 +154,7 @@
         self.server.closes.record(self._close_reason)
         # Warning: a connection left registered would keep its memory, count in the limit, and block a drain.
         self.server.unregister(self)
-        self._count_partial_command(0)
+        self._in_progress.release()
         self._count_blocking_bytes(0)
         self._deferred.discard()
         replies, self.replies = self.replies, deque()
@@ -177,7 +177,7 @@
         self.unread_ns = self.liveness.record_read(now, len(data))
         starts_command = not reader.needed_bytes
         is_next = not (self.replies or reader.has_unparsed)
-        may_be_long = len(data) > SMALL_BYTES or bool(self._partial_bytes)
+        may_be_long = len(data) > SMALL_BYTES or bool(self._in_progress.size)
         commands = reader.feed(data, self.server.turns.commands_per_read(is_next))
         if reader.has_unparsed:
             self._deferred.received(len(data), now, self.unread_ns)
@@ -214,8 +214,8 @@
         """
         reply = Reply(self)
         has_memory = words is not self.reader.discarded
-        if may_be_long and self._partial_bytes:
-            self._count_partial_command(0)
+        if may_be_long:
+            self._in_progress.release()
         if self.replies:
             reply.reserve_answer()
         if may_be_long or self.replies:
@@ -234,33 +234,9 @@
         elif reader.needed_bytes:
             if starts_command:
                 self.command_started_at = self.last_used_at
-            self._receive_partial_command()
-        elif self._partial_bytes:
-            self._count_partial_command(0)
-
-    def _receive_partial_command(self) -> None:
-        """Count the bytes of a long command; if memory is short, it or another one is discarded."""
-        held = self.reader.held_bytes
-        if held <= SMALL_BYTES:
-            return
-        self._count_partial_command(held)
-        server = self.server
-        server.partial_commands.received(self)
-        while server.memory.free < 0 and len(server.partial_commands):
-            server.partial_commands.shed(self.last_used_at)
-
-    def discard_partial_command(self) -> None:
-        """Drop what is received of the command; it will be refused once it is complete."""
-        self.reader.discard_word()
-        self._count_partial_command(self.reader.held_bytes)
-        log.debug("memory is short: a command is refused once it is complete")
-
-    def _count_partial_command(self, size: int) -> None:
-        before, self._partial_bytes = self._partial_bytes, size
-        if size != before:
-            self.memory.commands.take(size - before)
-        if not size:
-            self.server.partial_commands.remove(self)
+            self._in_progress.received(self.last_used_at)
+        else:
+            self._in_progress.release()
 
     def _reject_invalid_bytes(self, problem: str) -> None:
         """Reply to bytes that are not a command, and close."""
@@ -508,7 +484,7 @@
         if self.transport is None or self.transport.is_closing() or self.has_open_requests:
             return False
         is_about_to_close = self._closes_when_idle or self.closed or self.is_over_limit
-        is_waiting = self.blocked or self._partial_bytes or self.reader.is_discarding
+        is_waiting = self.blocked or self._in_progress.size or self.reader.is_discarding
         return not (is_about_to_close or is_waiting or self.in_handover)
 
     @property
@@ -547,7 +523,7 @@
 
     def reject_unfinished(self) -> None:
         """Reply to a command that was not received in time, and close."""
-        self._count_partial_command(0)
+        self._in_progress.release()
         self._closes_when_idle = True
         reply = Reply(self)
         self.replies.append(reply)
