Bytes of a command that is discarded are read many at a time

Cause: while memory is short a read brings 4 KiB. 561 clients that send long writes, are refused and send at once again cost 15 reads each; the event loop reads a connection up to 32 times before it goes on, so an iteration took tenths of a second.

Change: the bytes of a command that is being discarded take no memory, and are read 128 KiB at a time again.

The new test fails before (4 KiB).

--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -238,6 +238,12 @@
         else:
             self._in_progress.release()
 
+    @property
+    def keeps_what_it_reads(self) -> bool:
+        """Whether the bytes of the next read take memory: not those of a command that is discarded."""
+        # Read a little at a time, they would cost so much that other clients wait.
+        return not self.reader.is_discarding
+
     def _reject_invalid_bytes(self, problem: str) -> None:
         """Reply to bytes that are not a command, and close."""
         reply = Reply(self)
--- a/pebblepass/daemon/limited_reads.py
+++ b/pebblepass/daemon/limited_reads.py
@@ -24,13 +24,18 @@
         """`memory`: the account that tells whether memory is short."""
         self._memory = memory
 
+    @property
+    def keeps_what_it_reads(self) -> bool:
+        """Whether the bytes of the next read take memory."""
+        return True
+
     @abstractmethod
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of the next read; called by the event loop."""
-        return _SHORT_BUFFER if self._memory.is_short else _BUFFER
+        return _SHORT_BUFFER if self._memory.is_short and self.keeps_what_it_reads else _BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on what was read; called by the event loop."""
--- a/tests/daemon/test_held_memory.py
+++ b/tests/daemon/test_held_memory.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pebblepass.daemon.client_connection import ClientConnection
+from pebblepass.daemon.limited_reads import READ_BYTES, SHORT_OF_MEMORY_READ_BYTES
 from pebblepass.daemon.memory_account import MIN_ACCOUNT_BYTES, SMALL_BYTES, account_bytes
 from pebblepass.daemon.partial_commands import SILENT_S, PartialCommands
 from pebblepass.wire.resp import USED_FIELDS, parse_request
@@ -158,3 +159,17 @@
         for processes in (1, 2):
             counted = account_bytes(limit, 8 * mib, 1000, processes) * processes
             assert counted + processes * 8 * mib + 1000 * 4096 <= limit
+
+
+def test_bytes_of_a_discarded_command_are_read_many_at_a_time() -> None:
+    """Guards against refused long writes that cost so many reads that other clients wait."""
+
+    async def test(harness: RouterHarness) -> None:
+        await half_written(harness)
+        connections = list(harness.daemon.clients._connections)
+        harness.daemon.clients.memory.replies.take(MIN_ACCOUNT_BYTES)  # memory is short
+        lengths = {c.reader.is_discarding: len(c.get_buffer(-1)) for c in connections}
+        assert lengths == {True: READ_BYTES, False: SHORT_OF_MEMORY_READ_BYTES}
+        harness.daemon.clients.memory.replies.take(-MIN_ACCOUNT_BYTES)
+
+    run_with_router(test, **LEAST)
