--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 from tests.soak.history import broken_rules
 from tests.soak.run import BAD_CLIENTS, make_plan, run_soak
 
-SEEDS = range(1, 17)
+SEEDS = (*range(1, 17), 403)
 
 
 def test_the_seeds_draw_runs_with_and_without_a_crowd_and_hanging_servers() -> None:
