--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,11 @@
-"""A cache server's connection breaks within a long value, with other commands read behind it."""
+"""Answers of the origin without a length are reset on the way, and the router uses more than its memory."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -12,90 +15,127 @@
 from standins_2 import (  # noqa: E402 - found by the line above
     BROKEN,
     HELD,
-    REPORT,
     WITH_TROUBLE,
     CacheServer,
     CaseError,
     Client,
     Discovery,
+    HttpRequest,
     Origin,
     Record,
     Router,
     World,
     get_command,
     run_case,
-    set_command,
 )
 
-VALUE_BYTES = 512 << 10  # of at most 4 MiB
-LONG_KEY = b"item/long"
-BREAK_AFTER_S = 0.5  # from the first bytes of the value
-ROUNDS = 5
+MEMORY_MB = 192
+VALUE_BYTES = 3 << 20  # of at most 4 MiB
+RESET_SHARE = 0.05
+"""The share of the origin's answers that is reset when nearly all of the value was given."""
+RESET_LEFT_BYTES = 64 << 10
+CLIENTS = 8
+PAUSE_S = 0.02  # of a client between two reads
+LOAD_S = 90.0
+SAMPLE_S = 0.05
 
 
-class BreakingServer(CacheServer):
-    """A cache server whose connection breaks half way through each long value."""
+class ResettingOrigin(Origin):
+    """An origin that gives long values without a length, and resets some of its answers on the way."""
 
-    def __init__(self, name: str, record: Record) -> None:
-        super().__init__(name, record)
-        self.answer = self.long_answer
+    def __init__(self, record: Record, caches: list[CacheServer]) -> None:
+        super().__init__(record, caches)
         self.value = bytes(number % 251 for number in range(VALUE_BYTES))
+        self.resets = self.answers = 0
+        self._random = random.Random(72)
 
-    async def long_answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
-        """Give half of the long value, wait, and break; answer other keys as usual."""
-        if words[1] != LONG_KEY:
-            return await self.usual_answer(words, writer)
-        half = VALUE_BYTES // 2
-        writer.write(b"*3\r\n$%d\r\n%b" % (VALUE_BYTES, self.value[:half]))
+    async def answer(self, request: HttpRequest, request_id: str, writer: asyncio.StreamWriter) -> None:
+        """Answer a read without a length; the end of the connection ends the value."""
+        is_reset = WITH_TROUBLE and self._random.random() < RESET_SHARE
+        await asyncio.sleep(self.work_s)
+        writer.write(b"HTTP/1.1 200 OK\r\nServer-Load: recent_ms=1.5,backlog=0\r\n\r\n")
+        if not is_reset:
+            writer.write(self.value)
+            await writer.drain()
+            self.answers += 1
+            writer.close()
+            return
+        writer.write(self.value[:-RESET_LEFT_BYTES])
         await writer.drain()
-        await asyncio.sleep(BREAK_AFTER_S)
-        if WITH_TROUBLE:
-            self.record.line(f"server {self.name} resets the connection in the middle of the value")
-            writer.transport.abort()
-            return None
-        return self.value[half:] + b"\r\n$3\r\nhit\r\n$%d\r\n%b\r\n" % (len(REPORT), REPORT)
+        while writer.transport.get_write_buffer_size():
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)  # the router has read what was sent
+        self.resets += 1
+        self.record.line(f"origin resets the answer to {request.target} {request_id}")
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
+def memory_mb(process_id: int) -> float:
+    """Return the memory that a process has now, in MB."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    return int(status.split("VmRSS:")[1].split()[0]) / 1024
 
 
 async def case(record: Record) -> int:
     """Play the case."""
-    server = BreakingServer("s-0", record)
-    origin = Origin(record, [server])
+    server = CacheServer("s-0", record)
+    origin = ResettingOrigin(record, [])
     world = World()
     discovery = Discovery("agent", record, world)
     for peer in (server, origin, discovery):
         await peer.start()
     world.change(server.entry(), origin.entry())
     router = Router(record, discovery.address)
+    router.config["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
     try:
         await router.start()
         await router.wait_ready()
-        lost = 0
-        for number in range(ROUNDS):
-            lost += await play(record, router, origin, number)
-        record.line(f"{lost} of {2 * ROUNDS} requests behind a long value had no final answer")
-        return BROKEN if lost else HELD
+        return await play(record, router, origin)
     finally:
         await router.end()
 
 
-async def play(record: Record, router: Router, origin: Origin, number: int) -> int:
-    """Send three commands on one connection; return how many of the last two had no final answer."""
+async def read_values(router: Router, first: int, replies: dict[str, int]) -> None:
+    """Read one long value after another on one connection, each of another key."""
     client = await Client.connect(router.port)
-    long_read, write, read = (f"{number:04x}{kind:012x}" for kind in (1, 2, 3))
-    client.send(get_command(long_read, LONG_KEY.decode()))
-    client.send(set_command(write, f"item/w{number}", b"a new version"))
-    client.send(get_command(read, f"item/r{number}"))
-    record.line(f"client sent {long_read} (long), {write} (publish), {read} (read)")
-    lost = 0
-    for name in (long_read, write, read):
-        reply = await asyncio.wait_for(client.read_reply(), 10)
-        shown = "no whole answer" if reply is None else f"{reply[:60]!r}"
-        record.line(f"client: {name}: {shown}")
-        lost += reply is None and name != long_read
-    if origin.runs.get(write) != 1:
-        raise CaseError(f"the write ran {origin.runs.get(write, 0)} times")
-    client.close()
-    return lost
+    for number in range(first, first + 10_000):
+        client.send(get_command(f"{number:016x}", f"item/{number}"))
+        reply = await client.read_reply()
+        if reply is None:
+            client.close()
+            client = await Client.connect(router.port)
+        kind = "none" if reply is None else "value" if len(reply) == VALUE_BYTES else reply[:5].decode()
+        replies[kind] = replies.get(kind, 0) + 1
+        await asyncio.sleep(PAUSE_S)
+
+
+async def play(record: Record, router: Router, origin: ResettingOrigin) -> int:
+    """Watch the memory, and end the router once it is over its limit, as the platform does."""
+    assert router.process is not None
+    replies: dict[str, int] = {}
+    readers = [asyncio.create_task(read_values(router, n * 10_000, replies)) for n in range(CLIENTS)]
+    begun, peak, code = record.now(), 0.0, HELD
+    while record.now() - begun < LOAD_S and code == HELD:
+        await asyncio.sleep(SAMPLE_S)
+        if router.process.returncode is not None:
+            raise CaseError("the router has ended")
+        now = memory_mb(router.process.pid)
+        if now > peak + 5:
+            record.line(f"the router has {now:.0f} MB after {origin.resets} resets, {origin.answers} values")
+        peak = max(peak, now)
+        if now > MEMORY_MB:
+            record.line(f"the router is over its limit of {MEMORY_MB} MB, and is killed")
+            router.signal(signal.SIGKILL)
+            code = BROKEN
+    for reader in readers:
+        reader.cancel()
+    await asyncio.gather(*readers, return_exceptions=True)
+    record.line(f"peak {peak:.0f} MB, {origin.resets} resets, {origin.answers} whole answers, {replies}")
+    if not origin.answers:
+        raise CaseError("no value was given")
+    return code
 
 
 if __name__ == "__main__":
