--- a/review/10/case.py
+++ b/review/10/case.py
@@ -74,18 +74,15 @@
     client = await Client.connect(router.port)
     client.send(get_command("00000000000000a1", "item/long"))
     record.line("client sent the read 00000000000000a1")
-    head = await asyncio.wait_for(client.reader.readline(), 5)
-    if head != b"$%d\r\n" % VALUE_BYTES:
+    head = await asyncio.wait_for(client.read_line(), 5)
+    if head != b"$%d" % VALUE_BYTES:
         raise CaseError(f"the answer begins with {head!r}")
     received = bytearray()
-    try:
-        while len(received) < VALUE_BYTES + 2:
-            data = await asyncio.wait_for(client.reader.read(VALUE_BYTES + 2 - len(received)), HANG_S + 10)
-            if not data:
-                break
-            received += data
-    except OSError as error:
-        record.line(f"client: {error}")
+    while len(received) < VALUE_BYTES + 2:
+        data = await asyncio.wait_for(client.read_some(), HANG_S + 10)
+        if not data:
+            break
+        received += data
     record.line(f"client has {len(received)} of {VALUE_BYTES + 2} bytes, and the answer ends")
     whole = bytes(received) == server.value + b"\r\n"
     await asyncio.sleep(0 if whole else HANG_S)  # until the server has gone on
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -81,21 +81,14 @@
     client = await Client.connect(router.port)
     client.send(get_command("00000000000000a1", "item/long"))
     record.line("client sent the read 00000000000000a1")
-    head = await asyncio.wait_for(client.reader.readline(), 5)
-    if head != b"$%d\r\n" % VALUE_BYTES:
+    head = await asyncio.wait_for(client.read_line(), 5)
+    if head != b"$%d" % VALUE_BYTES:
         raise CaseError(f"the answer begins with {head!r}")
     first_at = record.now()
     record.line("client has the first bytes of the answer")
     ended = asyncio.create_task(end_router(record, router)) if WITH_TROUBLE else None
     received = bytearray()
-    while len(received) < VALUE_BYTES + 2:
-        try:
-            data = await client.reader.read(VALUE_BYTES + 2 - len(received))
-        except OSError as error:
-            record.line(f"client: {error}")
-            break
-        if not data:
-            break
+    while len(received) < VALUE_BYTES + 2 and (data := await client.read_some()):
         received += data
     took = record.now() - first_at
     record.line(
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -409,36 +409,87 @@
             self.record.line(f"discovery {self.name} answered with version {generation}")
 
 
-class Client:
-    """A client's connection."""
+class Client(asyncio.Protocol):
+    """A client's connection. What came before a reset is still read, as with a plain socket."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._changed = asyncio.Event()
+        self.has_ended = False
+        """Whether the connection has ended; what was received may still be read."""
 
     @classmethod
     async def connect(cls, port: int) -> Client:
         """Connect to a router."""
-        return cls(*await asyncio.open_connection(HOST, port, limit=1 << 23))
+        _, client = await asyncio.get_running_loop().create_connection(cls, HOST, port)
+        return client
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Store what was received."""
+        self._received += data
+        self._changed.set()
+
+    def connection_lost(self, _: Exception | None) -> None:
+        """Record the end."""
+        self.has_ended = True
+        self._changed.set()
 
     def send(self, data: bytes) -> None:
         """Send bytes."""
-        self.writer.write(data)
+        assert self._transport is not None
+        self._transport.write(data)
+
+    async def _more(self) -> bool:
+        """Wait for further bytes; return False if there are none before the end of the connection."""
+        size = len(self._received)
+        while len(self._received) == size and not self.has_ended:
+            self._changed.clear()
+            await self._changed.wait()
+        return len(self._received) > size
+
+    async def read_some(self) -> bytes:
+        """Return the bytes received, at least one; empty at the end of the connection."""
+        if not self._received:
+            await self._more()
+        data = bytes(self._received)
+        self._received.clear()
+        return data
+
+    async def read_line(self) -> bytes | None:
+        """Return a line without its end; None if the connection ends before it is whole."""
+        while (end := self._received.find(b"\r\n")) < 0:
+            if not await self._more():
+                return None
+        line = bytes(self._received[:end])
+        del self._received[: end + 2]
+        return line
 
     async def read_reply(self) -> bytes | None:
         """Return a value, or the line of another reply; None if the connection ends before it is whole."""
-        try:
-            line = await self.reader.readline()
-            if not line.endswith(b"\r\n"):
+        line = await self.read_line()
+        if line is None or not line.startswith(b"$") or line == b"$-1":
+            return line
+        size = int(line[1:])
+        while len(self._received) < size + 2:
+            if not await self._more():
                 return None
-            if line.startswith(b"$") and line != b"$-1\r\n":
-                return (await self.reader.readexactly(int(line[1:]) + 2))[:-2]
-        except (OSError, asyncio.IncompleteReadError):
-            return None
-        return line[:-2]
+        value = bytes(self._received[:size])
+        del self._received[: size + 2]
+        return value
 
-    def close(self) -> None:
+    def close(self, with_reset: bool = False) -> None:
         """Close the connection."""
-        self.writer.close()
+        if self._transport is not None:
+            if with_reset:
+                self._transport.abort()
+            else:
+                self._transport.close()
 
 
 def get_command(
