--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,9 @@
-"""A cache server hangs for some seconds in the middle of a long value, and then gives the rest."""
+"""SIGHUP moves discovery to an address whose calls wait for their turn, and a cache server drains."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 from standins_2 import (  # noqa: E402 - found by the line above
     BROKEN,
     HELD,
-    REPORT,
+    SETTINGS,
     WITH_TROUBLE,
     CacheServer,
     CaseError,
@@ -26,68 +27,89 @@
     run_case,
 )
 
-VALUE_BYTES = 1 << 20  # of at most 4 MiB
-HANG_S = 4.0 if WITH_TROUBLE else 0.1  # of at most 6 s
+QUEUE_S = 1.8 if WITH_TROUBLE else 0.0
+"""How long a call waits for its turn; discovery fails calls that have waited for 2 s."""
+TOLD_AFTER_S = 4.0  # from SIGHUP
+GRACE_S = SETTINGS["rules"]["drainGraceNs"] / 1e9 + 0.05
+OLD_CLOSES_S = 1.5  # after SIGHUP the old address closes its open connections
+KEYS = 61
+PUBLIC_PERCENT = 63  # of the requests, as the settings have it
+RATE = 300  # requests a second
+WATCH_S = 9.0  # from SIGHUP
 
 
-class HangingServer(CacheServer):
-    """A cache server that hangs once, half way through a long value."""
-
-    def __init__(self, name: str, record: Record) -> None:
-        super().__init__(name, record)
-        self.answer = self.long_answer
-        self.value = bytes(number % 251 for number in range(VALUE_BYTES))
-
-    async def long_answer(self, _: list[bytes], writer: asyncio.StreamWriter) -> None:
-        """Give half of the value, hang, and give the rest on the same connection."""
-        half = len(self.value) // 2
-        writer.write(b"*3\r\n$%d\r\n%b" % (len(self.value), self.value[:half]))
-        await writer.drain()
-        self.record.line(f"server {self.name} has given {half} bytes and hangs")
-        await asyncio.sleep(HANG_S)
-        is_open = not writer.is_closing()
-        self.record.line(f"server {self.name} goes on; its connection is {'open' if is_open else 'closed'}")
-        writer.write(self.value[half:] + b"\r\n$3\r\nhit\r\n$%d\r\n%b\r\n" % (len(REPORT), REPORT))
-        await writer.drain()
+async def ask(port: int, number: int, replies: dict[str, int]) -> None:
+    """Send one read on a connection of its own, and count its reply."""
+    client = await Client.connect(port)
+    tenant = "public" if number % 100 < PUBLIC_PERCENT else "municipal"
+    client.send(get_command(f"{number:016x}", f"item/{number % KEYS}", tenant=tenant))
+    reply = await client.read_reply()
+    kind = "lost" if reply is None else reply.split(b" ")[0].decode() if reply[:1] == b"-" else "value"
+    replies[kind] = replies.get(kind, 0) + 1
+    client.close()
 
 
 async def case(record: Record) -> int:
     """Play the case."""
-    server = HangingServer("s-0", record)
-    origin = Origin(record, [server])
+    caches = [CacheServer(f"s-{number}", record) for number in range(4)]
+    origin = Origin(record, caches)
     world = World()
-    discovery = Discovery("agent", record, world)
-    for peer in (server, origin, discovery):
+    old, new = (Discovery(name, record, world, QUEUE_S) for name in ("old", "new"))
+    for peer in (*caches, origin, old, new):
         await peer.start()
-    world.change(server.entry(), origin.entry())
-    router = Router(record, discovery.address)
+    world.change(*(cache.entry() for cache in caches), origin.entry())
+    router = Router(record, old.address, {**SETTINGS, "membershipMode": "subscribe"})
     try:
         await router.start()
         await router.wait_ready()
-        return await play(record, router, server)
+        return await play(record, router, caches[0], world, old, new)
     finally:
         await router.end()
 
 
-async def play(record: Record, router: Router, server: HangingServer) -> int:
-    """Read the long value as it comes."""
-    client = await Client.connect(router.port)
-    client.send(get_command("00000000000000a1", "item/long"))
-    record.line("client sent the read 00000000000000a1")
-    head = await asyncio.wait_for(client.read_line(), 5)
-    if head != b"$%d" % VALUE_BYTES:
-        raise CaseError(f"the answer begins with {head!r}")
-    received = bytearray()
-    while len(received) < VALUE_BYTES + 2:
-        data = await asyncio.wait_for(client.read_some(), HANG_S + 10)
-        if not data:
-            break
-        received += data
-    record.line(f"client has {len(received)} of {VALUE_BYTES + 2} bytes, and the answer ends")
-    whole = bytes(received) == server.value + b"\r\n"
-    await asyncio.sleep(0 if whole else HANG_S)  # until the server has gone on
-    client.close()
-    return HELD if whole else BROKEN
+async def play(
+    record: Record, router: Router, server: CacheServer, world: World, old: Discovery, new: Discovery
+) -> int:
+    """Send reads throughout; the server drains in the moment of SIGHUP."""
+    replies: dict[str, int] = {}
+    late: list[float] = []
+    tasks = []
+    signalled_at = float("inf")
+    usual = server.answer
+
+    async def answer(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        after = record.now() - signalled_at
+        if after > TOLD_AFTER_S + GRACE_S:
+            late.append(after)
+            record.line(f"server {server.name} drains, and this came {after:.3f} s after SIGHUP")
+        return await usual(words, writer)
+
+    server.answer = answer
+    started, number = record.now(), 0
+    steady_s = 6.0  # until the list was told and the caches hold the keys
+    asked_before = 0
+    while record.now() - started < steady_s + WATCH_S:
+        tasks.append(asyncio.create_task(ask(router.port, number, replies)))
+        number += 1
+        if signalled_at == float("inf") and record.now() - started >= steady_s:
+            asked_before = len(server.missed) + len(server.values)
+            router.config["discovery"] = new.address
+            router.write_config()
+            server.is_draining = True
+            world.change(server.entry("draining"))
+            record.line(f"server {server.name} drains: version {world.generation} of the list")
+            router.signal(signal.SIGHUP)
+            signalled_at = record.now()
+            old.stop_listening()
+            asyncio.get_running_loop().call_later(OLD_CLOSES_S, old.close_connections)
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*tasks)
+    record.line(f"replies: {replies}")
+    if not asked_before or not replies.get("value"):
+        raise CaseError("the server was not used, or no read was served")
+    if late:
+        record.line(f"{len(late)} commands too late, the last {late[-1]:.3f} s after SIGHUP")
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,9 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 python="$folder/../../.venv/bin/python"
 test -x "$python" || exit 2
-exec "$python" -B "$folder/case.py"
+"$python" -B "$folder/case.py"
+case $? in
+0) exit 0 ;;
+11) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,9 @@
-"""A cache server's connection breaks within a long value, with other commands read behind it."""
+"""A planned restart of a router with a class of 4 s: the platform may kill it 3.7 s after SIGTERM."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -12,7 +13,8 @@
 from standins_2 import (  # noqa: E402 - found by the line above
     BROKEN,
     HELD,
-    REPORT,
+    MS,
+    SETTINGS,
     WITH_TROUBLE,
     CacheServer,
     CaseError,
@@ -22,80 +24,129 @@
     Record,
     Router,
     World,
-    get_command,
     run_case,
     set_command,
 )
 
-VALUE_BYTES = 512 << 10  # of at most 4 MiB
-LONG_KEY = b"item/long"
-BREAK_AFTER_S = 0.5  # from the first bytes of the value
-ROUNDS = 5
+CLASSES = [
+    ("balance-read", 750, 1500, "retryable", 0),
+    ("top-up", 1200, 3000, "dedup", 6000),
+    ("emergency-credit", 1000, 4000, "dedup", 20000),
+]
+"""Name, aim, deadline, effect and window for repeats, in milliseconds."""
+CLASS, DEADLINE_MS = "emergency-credit", 3200  # a try is given up after 50 to 80 % of the class's time
+ORIGIN_S = 2.5
+"""How long the origin takes for a write: within the time that the clients wait."""
+KILL_AFTER_S = 3.0 + 0.7  # from SIGTERM: "the longest deadline (3 s at most) and 0.7 s more"
+COUNTED_AFTER_S = 0.7 + 0.05  # what came sooner may be found unanswered by SIGKILL
+WRITES_AT_S = (-0.5, 0.9, 1.4, 1.9)  # from SIGTERM, on each connection
+CLIENTS = 4
 
 
-class BreakingServer(CacheServer):
-    """A cache server whose connection breaks half way through each long value."""
+class Write:
+    """One write: when it was sent, and its answer."""
 
-    def __init__(self, name: str, record: Record) -> None:
-        super().__init__(name, record)
-        self.answer = self.long_answer
-        self.value = bytes(number % 251 for number in range(VALUE_BYTES))
+    def __init__(self, request_id: str, sent_s: float) -> None:
+        self.id, self.sent_s = request_id, sent_s
+        self.reply: bytes | None = None
 
-    async def long_answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
-        """Give half of the long value, wait, and break; answer other keys as usual."""
-        if words[1] != LONG_KEY:
-            return await self.usual_answer(words, writer)
-        half = VALUE_BYTES // 2
-        writer.write(b"*3\r\n$%d\r\n%b" % (VALUE_BYTES, self.value[:half]))
-        await writer.drain()
-        await asyncio.sleep(BREAK_AFTER_S)
-        if WITH_TROUBLE:
-            self.record.line(f"server {self.name} resets the connection in the middle of the value")
-            writer.transport.abort()
-            return None
-        return self.value[half:] + b"\r\n$3\r\nhit\r\n$%d\r\n%b\r\n" % (len(REPORT), REPORT)
+
+async def use_connection(record: Record, port: int, number: int, terms_at: float) -> list[Write]:
+    """Send writes on one connection for as long as it stays open, without waiting for their answers."""
+    client = await Client.connect(port)
+    writes: list[Write] = []
+    reader = asyncio.create_task(read_replies(record, client, writes))
+    for index, at_s in enumerate(WRITES_AT_S):
+        await asyncio.sleep(max(terms_at + at_s - record.now(), 0))
+        if client.has_ended:
+            break
+        write = Write(f"{number:08x}{index:08x}", record.now() - terms_at)
+        writes.append(write)
+        client.send(set_command(write.id, f"account/{number}.{index}", b"+5", CLASS, DEADLINE_MS))
+        record.line(f"client {number} sent {write.id}, {write.sent_s:.2f} s after SIGTERM")
+    await reader
+    client.close()
+    return writes
+
+
+async def read_replies(record: Record, client: Client, writes: list[Write]) -> None:
+    """Read the answers in the order of the writes."""
+    for index in range(len(WRITES_AT_S)):
+        reply = await client.read_reply()
+        if reply is None:
+            return
+        writes[index].reply = reply
+        record.line(f"client has the answer to {writes[index].id}: {reply.decode()}")
 
 
 async def case(record: Record) -> int:
     """Play the case."""
-    server = BreakingServer("s-0", record)
-    origin = Origin(record, [server])
+    settings = {
+        **SETTINGS,
+        "classes": [
+            {
+                "name": name,
+                "aimNs": aim * MS,
+                "giveUpNs": deadline * MS,
+                "semantics": effect,
+                "group": "all",
+                "dedupWindowNs": window * MS,
+                "lateValue": 0.0,
+                "streamed": False,
+                "worth": 5.0,
+            }
+            for name, aim, deadline, effect, window in CLASSES
+        ],
+    }
+    server = CacheServer("s-0", record)
+    origin = Origin(record, [server], ORIGIN_S)
     world = World()
     discovery = Discovery("agent", record, world)
     for peer in (server, origin, discovery):
         await peer.start()
     world.change(server.entry(), origin.entry())
-    router = Router(record, discovery.address)
+    router = Router(record, discovery.address, settings)
     try:
         await router.start()
         await router.wait_ready()
-        lost = 0
-        for number in range(ROUNDS):
-            lost += await play(record, router, origin, number)
-        record.line(f"{lost} of {2 * ROUNDS} requests behind a long value had no final answer")
-        return BROKEN if lost else HELD
+        return await play(record, router, origin)
     finally:
         await router.end()
 
 
-async def play(record: Record, router: Router, origin: Origin, number: int) -> int:
-    """Send three commands on one connection; return how many of the last two had no final answer."""
-    client = await Client.connect(router.port)
-    long_read, write, read = (f"{number:04x}{kind:012x}" for kind in (1, 2, 3))
-    client.send(get_command(long_read, LONG_KEY.decode()))
-    client.send(set_command(write, f"item/w{number}", b"a new version"))
-    client.send(get_command(read, f"item/r{number}"))
-    record.line(f"client sent {long_read} (long), {write} (publish), {read} (read)")
+async def play(record: Record, router: Router, origin: Origin) -> int:
+    """End the router as at a planned restart, while clients go on using their connections."""
+    assert router.process is not None
+    terms_at = record.now() + 1.0
+    clients = [
+        asyncio.create_task(use_connection(record, router.port, number, terms_at))
+        for number in range(CLIENTS)
+    ]
+    if WITH_TROUBLE:
+        await asyncio.sleep(terms_at - record.now())
+        router.signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(router.process.wait(), KILL_AFTER_S)
+            record.line(f"the router ended by itself with exit code {code}")
+        except TimeoutError:
+            router.signal(signal.SIGKILL)
+    writes = [write for client in clients for write in await client]
+    await asyncio.sleep(ORIGIN_S)  # until the origin has carried out all that it got
     lost = 0
-    for name in (long_read, write, read):
-        reply = await asyncio.wait_for(client.read_reply(), 10)
-        shown = "no whole answer" if reply is None else f"{reply[:60]!r}"
-        record.line(f"client: {name}: {shown}")
-        lost += reply is None and name != long_read
-    if origin.runs.get(write) != 1:
-        raise CaseError(f"the write ran {origin.runs.get(write, 0)} times")
-    client.close()
-    return lost
+    for write in writes:
+        ran = origin.runs.get(write.id, 0)
+        if write.reply is None:
+            # A write that never reached the origin may have crossed the end of the connection unread.
+            is_counted = write.sent_s >= COUNTED_AFTER_S and write.id in origin.got
+            lost += is_counted
+            word = "lost" if is_counted else "excused"
+            record.line(
+                f"{write.id}, sent at {write.sent_s:.2f} s, has no answer: {word}; it ran {ran} times"
+            )
+    record.line(f"{len(writes)} writes, {lost} lost")
+    if not any(write.reply and write.reply.startswith(b"receipt") for write in writes):
+        raise CaseError("no write was served")
+    return BROKEN if lost else HELD
 
 
 if __name__ == "__main__":
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -22,8 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
-"""The exit codes of a case."""
+HELD, BROKEN, NOT_RUN = 0, 11, 12
+"""How a case ends; `run.sh` makes its exit codes of these, so that a Python error is never taken for a result."""
 
 WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -290,6 +290,8 @@
         self.name, self.record, self.caches, self.work_s = "origin", record, caches, work_s
         self.runs: dict[str, int] = {}
         """How often the write of each request ran."""
+        self.got: set[str] = set()
+        """The ids of the requests that it has received."""
 
     def value_of(self, key: str) -> bytes:
         """Return the value of a key."""
@@ -302,6 +304,7 @@
                 writer.write(http_answer(200, b"ok"))
                 continue
             request_id = request.headers.get("request-id", "")
+            self.got.add(request_id)
             self.record.line(f"origin got {request.method} {request.target} {request_id}")
             await self.answer(request, request_id, writer)
             await writer.drain()
@@ -613,7 +616,7 @@
     record = Record(folder / "record.txt")
     try:
         code = asyncio.run(_limited(case(record), limit_s))
-    except (CaseError, OSError, TimeoutError) as error:
+    except Exception as error:  # noqa: BLE001 - whatever went wrong, the case has shown nothing
         record.line(f"could not run: {error!r}")
         code = NOT_RUN
     result = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[code]
