--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -23,7 +23,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 HELD, BROKEN, NOT_RUN = 0, 11, 12
-"""How a case ends; `run.sh` makes its exit codes of these, so that a Python error is never taken for a result."""
+"""How a case ends. `run.sh` makes its exit codes of these; an error of Python is never taken for a result."""
 
 WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
