--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 import socket
 import sys
@@ -31,8 +30,8 @@
 
 MEMORY_MB = 192
 VALUE_BYTES = 3 << 20  # of at most 4 MiB
-RESET_SHARE = 0.05
-"""The share of the origin's answers that is reset when nearly all of the value was given."""
+RESET_EVERY = 20
+"""One of so many answers of the origin is reset, when nearly all of the value was given."""
 RESET_LEFT_BYTES = 64 << 10
 CLIENTS = 8
 PAUSE_S = 0.02  # of a client between two reads
@@ -47,11 +46,12 @@
         super().__init__(record, caches)
         self.value = bytes(number % 251 for number in range(VALUE_BYTES))
         self.resets = self.answers = 0
-        self._random = random.Random(72)
+        self._number = 0
 
     async def answer(self, request: HttpRequest, request_id: str, writer: asyncio.StreamWriter) -> None:
         """Answer a read without a length; the end of the connection ends the value."""
-        is_reset = WITH_TROUBLE and self._random.random() < RESET_SHARE
+        self._number += 1
+        is_reset = WITH_TROUBLE and self._number % RESET_EVERY == 0
         await asyncio.sleep(self.work_s)
         writer.write(b"HTTP/1.1 200 OK\r\nServer-Load: recent_ms=1.5,backlog=0\r\n\r\n")
         if not is_reset:
