--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 from pathlib import Path
 
@@ -51,6 +52,8 @@
         await asyncio.sleep(BREAK_AFTER_S)
         if WITH_TROUBLE:
             self.record.line(f"server {self.name} resets the connection in the middle of the value")
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
             return None
         return self.value[half:] + b"\r\n$3\r\nhit\r\n$%d\r\n%b\r\n" % (len(REPORT), REPORT)
