What a connection has received leaves the memory at its end

Cause: the memory account releases an answer's bytes when its connection ends, but the bytes stay until the garbage collector runs, 20,000 young objects later. The connection and its HTTP parser refer to each other. With the collector off, two more such cycles showed: a long value that is cut off (Reply.source and the attempt's request), and every multi-get (its reply, and a batch and its keys).

Change: each cycle is broken in the event in which the account releases the bytes. The parser lives from the first bytes of a response to its end or the connection's; received bytes are dropped where they are released. Discovery, the webhook and the control address have the same parser and the same mend. The collector's threshold is as before.

--- a/pebblepass/accounting/webhook.py
+++ b/pebblepass/accounting/webhook.py
@@ -92,6 +92,7 @@
             self.status_received.set_result(self.status)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.release_parser()
         self._fail(ConnectionResetError("connection closed without a response"))
 
     def _fail(self, error: Exception) -> None:
--- a/pebblepass/control/http_server.py
+++ b/pebblepass/control/http_server.py
@@ -107,7 +107,7 @@
         """Called when the connection is closed. The owner of a stream sets it."""
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._target = b""
         self._request_bytes = 0  # received so far of the current request
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -152,6 +152,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the resources of the connection."""
         self._transport = None
+        # Warning: the parser refers to this connection, which would stay in memory with its request.
+        self._parser = None
         self._server.connections.pop(self, None)
         self.on_closed()
         if self._idle_timer is not None:
@@ -161,6 +163,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a request."""
+        assert self._parser is not None
         self._request_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -188,6 +191,7 @@
         if len(self._pending) >= self._server.limits.queued_requests:
             self.abort()
             return
+        assert self._parser is not None
         method = self._parser.get_method().decode("ascii")
         self._pending.append(_PendingRequest(method, target, self._parser.should_keep_alive()))
         self._restart_idle_timer()
--- a/pebblepass/daemon/caches.py
+++ b/pebblepass/daemon/caches.py
@@ -24,6 +24,10 @@
         """The received bytes of an incomplete answer."""
         return len(self._parser.buffered)
 
+    def discard_answer(self) -> None:
+        """Drop the received bytes of an incomplete answer."""
+        self._parser.discard()
+
     def read_answer(self, data: bytes) -> None:
         """Parse received bytes, up to the last answer that the exchange expects."""
         parser = self._parser
--- a/pebblepass/daemon/multi_get/batch_exchange.py
+++ b/pebblepass/daemon/multi_get/batch_exchange.py
@@ -251,4 +251,6 @@
                 if outcome is not Outcome.CONNECT_FAILED:
                     attempt.exclude_from_health()
                 attempt.end(outcome)
+        # Warning: the keys refer to this exchange, and by their command to the values of all its keys.
+        batch.items = []
         self._registry.schedule()
--- a/pebblepass/daemon/multi_get/registry.py
+++ b/pebblepass/daemon/multi_get/registry.py
@@ -174,6 +174,9 @@
         """Remove a command that is finished."""
         multi_get.is_over = True
         multi_get.timer.cancel()
+        # Warning: the reply and its command refer to each other. Until the garbage collector finds them, the
+        # values of finished commands would stay in memory.
+        multi_get.reply.request = multi_get.reply.source = None
         self._multi_gets.pop(multi_get.name, None)
         self._by_assembly.pop(multi_get.assembly, None)
         self._changed.pop(multi_get, None)
--- a/pebblepass/daemon/origin.py
+++ b/pebblepass/daemon/origin.py
@@ -100,7 +100,8 @@
             part, self._unsent = self._unsent[:LONG_VALUE_BYTES], self._unsent[LONG_VALUE_BYTES:]
             self.exchange.value_received(bytes(part))
         if self._unsent is not None and not self._unsent:
-            self._discard_buffered()
+            self.discard_answer()
+            self._count_buffered()
             self._finish_exchange(None)
 
     def pause(self) -> None:
@@ -130,20 +131,16 @@
         """The received bytes of a body that is not complete, or not passed on yet."""
         return self._unsent_length if self._unsent is not None else len(self._body)
 
-    def _discard_buffered(self) -> None:
+    def discard_answer(self) -> None:
+        """Drop the received bytes of a body."""
         self._unsent = None
-        self._count_buffered()
-
-    def close(self) -> None:
-        """Abort the connection, and discard the buffered value."""
-        self._discard_buffered()
-        super().close()
+        self._body = bytearray()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection; a value that was received completely is still passed on."""
+        self.release_parser()
         if self._unsent is not None and self.exchange is not None:
             self.retired = True
             self.server.pool.lost(self)
             return
-        self._discard_buffered()
         super().connection_lost(exc)
--- a/pebblepass/daemon/reply.py
+++ b/pebblepass/daemon/reply.py
@@ -141,6 +141,9 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the client sees that a streamed reply is incomplete."""
+        # Warning: the source refers to this reply. Until the garbage collector finds them, what the client
+        # has sent would stay in memory.
+        self.source = None
         self._connection.abort(CloseReason.INCOMPLETE_VALUE)
 
     def free_command(self) -> None:
--- a/pebblepass/daemon/server_connection.py
+++ b/pebblepass/daemon/server_connection.py
@@ -254,8 +254,13 @@
             self._buffered_bytes = size
             self.server.pool.answer_reads.count(self, size)
 
+    @abstractmethod
+    def discard_answer(self) -> None:
+        """Drop the received bytes of an answer, as the memory account no longer counts them."""
+
     def _release_memory(self) -> None:
         self._count_unsent(0)
+        self.discard_answer()
         if self._buffered_bytes:
             self._buffered_bytes = 0
             self.server.pool.answer_reads.release(self)
--- a/pebblepass/discovery/connection.py
+++ b/pebblepass/discovery/connection.py
@@ -62,7 +62,9 @@
             self._finish_response()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the current request."""
+        """Fail the current request, and drop what was received of its response."""
+        self.release_parser()
+        self._body.clear()
         self._fail(ConnectionResetError("the discovery service closed the connection"))
 
     def body_started(self, length: int | None) -> None:
@@ -83,5 +85,7 @@
             self._response.set_result(response)
 
     def _fail(self, error: Exception) -> None:
-        if self._response is not None and not self._response.done():
-            self._response.set_exception(error)
+        # Warning: the error refers to this connection by its traceback, so it must not be kept here.
+        pending, self._response = self._response, None
+        if pending is not None and not pending.done():
+            pending.set_exception(error)
--- a/pebblepass/wire/answers.py
+++ b/pebblepass/wire/answers.py
@@ -52,6 +52,10 @@
         """Add received bytes."""
         self.buffered = self.buffered + data if self.buffered else data
 
+    def discard(self) -> None:
+        """Drop the received bytes at the end of the connection."""
+        self.buffered, self._elements = b"", None
+
     @property
     def has_partial_answer(self) -> bool:
         """Whether a part of an answer is received."""
--- a/pebblepass/wire/http.py
+++ b/pebblepass/wire/http.py
@@ -19,7 +19,8 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        # Made with the first bytes of a response, see `release_parser`.
+        self._parser: httptools.HttpResponseParser | None = None
         self.headers: dict[bytes, bytes] = {}
         self._header_bytes = 0
         self._in_body = self._complete = self._reusable = False
@@ -33,6 +34,8 @@
         """
         if not self._in_body:
             self._header_bytes += len(data)
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -62,6 +65,14 @@
         self._reset()
         return reusable
 
+    def release_parser(self) -> None:
+        """Drop the parser at the end of the connection, of which nothing is read from now on.
+
+        Warning: the parser and this object refer to each other. Until the garbage collector finds them, all
+        that the connection has received and sent would stay in memory.
+        """
+        self._parser = None
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by httptools."""
         name = name.lower()
@@ -71,6 +82,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by httptools; an interim response (1xx) is ignored."""
+        assert self._parser is not None
         if self._complete or self._parser.get_status_code() < 200:
             return
         self.status = self._parser.get_status_code()
@@ -90,6 +102,7 @@
 
     def on_message_complete(self) -> None:
         """Called by httptools."""
+        assert self._parser is not None
         if self._in_body and not self._complete:
             self._complete = True
             self._reusable = self._parser.should_keep_alive()
