A router that ends passes long values on to their end

Cause: the shutdown returned at its plan's end whatever was still being passed on, and `stop` aborted the clients. The plan's end is when SIGKILL may come, not when it does.

Change: from the step that fails open requests on nothing more is read, and each connection ends with its last reply. A connection with unread commands is closed once its client's kernel has taken every byte, as the close resets it; in an upgrade it is handed over with them. The plan ends 0.1 s before the kill (0.05 s).

--- a/pebblepass/accounting/service.py
+++ b/pebblepass/accounting/service.py
@@ -167,6 +167,12 @@
     def _write_periodically(self) -> None:
         interval_s = self._section.snapshot_every_s
         self._timers["snapshot"] = self._loop.call_later(interval_s, self._write_periodically)
+        self.write_snapshot()
+
+    def write_snapshot(self) -> None:
+        """Write a snapshot soon, if there is a folder for it: the process may be killed."""
+        if self._file is None:
+            return
         # While the disk hangs, snapshots are skipped so that they don't queue up.
         if self._pending_write is None or self._pending_write.done():
             self._pending_write = self._run_in_worker(self._snapshot(closing=False))
--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -111,6 +111,7 @@
         self._blocking_bytes = 0  # of the memory account: in the write buffer of a client that does not read
         self._closes_when_idle = False  # no further command is expected
         self._draining = False  # it closes for the router's shutdown, once it has nothing open
+        self._is_ending = False  # the shutdown is over: nothing more is read
         self._disconnect_detected = False
         self._close_reason = CloseReason.CLIENT_LEFT  # unless this process closes it
         self.liveness = ClientLiveness(server.lag, server.poll_socket, self.last_used_at, empty_at)
@@ -324,7 +325,7 @@
             self.last_used_at = self.server.loop.time()
         if self.reader.has_unparsed:
             self._deferred.wait()
-        elif not replies and self._closes_when_idle and self.transport is not None:
+        elif not replies and self._closes_when_idle and not self._is_ending and self.transport is not None:
             # Warning: closing with unread bytes would lose a request, and send a reset that may destroy the
             # last reply.
             if not (self._draining and self.has_unread()):
@@ -371,7 +372,8 @@
         # The next commands of a client that waits for a reply would have to wait for memory.
         is_short = self.reader.has_unparsed or (bool(self.replies) and self.server.turns.is_short)
         is_busy = self.blocked or is_short or self.is_full
-        should_read = not (is_busy or self.reader.framing_error or self.in_handover)
+        is_over = self.in_handover or self._is_ending
+        should_read = not (is_busy or self.reader.framing_error or is_over)
         if should_read == self.liveness.is_reading or self.transport is None or self.transport.is_closing():
             return
         if should_read and self.client_has_disconnected():
@@ -394,7 +396,7 @@
         if self.transport is None or self.transport.is_closing():
             return False
         state = self.liveness.poll_state(self.server.loop.time)
-        if state is ClientState.UNKNOWN and not self.in_handover:
+        if state is ClientState.UNKNOWN and not (self.in_handover or self._is_ending):
             state = self._read_ahead()
         return state is ClientState.DISCONNECTED
 
@@ -460,6 +462,40 @@
         unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
         return bool(self.replies) or unsent
 
+    # The end of the process, see `last_replies`
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of replies that this machine's kernel has not accepted."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    @property
+    def has_open_replies(self) -> bool:
+        """Whether it has replies that are not written completely."""
+        return bool(self.replies)
+
+    @property
+    def has_waiting_commands(self) -> bool:
+        """Whether commands that were read wait for their turn."""
+        return self.reader.has_unparsed
+
+    @property
+    def awaits_value(self) -> bool:
+        """Whether its next reply is a long value that its server is still sending."""
+        return bool(self.replies) and self.replies[0].source is not None
+
+    def stop_reading(self) -> None:
+        """Leave unread what the client sends from now on."""
+        self._is_ending = True
+        self.update_reading()
+
+    def end(self) -> None:
+        """Close it, or hand it over if another process takes connections over."""
+        if self.server.on_handover is not None:
+            self.server.begin_handover(self)
+        if not self.in_handover:
+            self.close(CloseReason.EXIT)
+
     @property
     def activity(self) -> Activity:
         """Its state, which decides whether it may be evicted."""
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -6,7 +6,7 @@
 import functools
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from pebblepass.connection_limits.descriptors import MAX_REJECTED_CONNECTIONS
@@ -172,6 +172,11 @@
         """Number of connections, including those whose commands are rejected."""
         return len(self._connections)
 
+    @property
+    def connections(self) -> Iterable[ClientConnection]:
+        """The connections that are neither closed nor handed over."""
+        return list(self._connections)
+
     @property
     def owes_replies(self) -> bool:
         """Whether there are replies that the kernel has not accepted."""
--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -20,7 +20,6 @@
 from pebblepass.daemon.memory_account import MemoryAccount, account_bytes
 from pebblepass.daemon.memory_monitor import MemoryMonitor, MemorySources, MemoryUse
 from pebblepass.daemon.router import RouterHost
-from pebblepass.daemon.shutdown import Shutdown
 from pebblepass.decisions import ListKind
 from pebblepass.decisions.interface import NS_PER_S
 from pebblepass.discovery.client import DiscoveryClient
@@ -108,6 +107,8 @@
             cached = parse_endpoint_list(config.known, clock, ListKind.CACHED)
             self._discovery.generation = cached.generation
             self.host.servers_changed(cached)
+        self.on_overtime: Callable[[], None] = lambda: None
+        """Called when a shutdown takes longer than the platform has to wait; set by its owner."""
         self._reload_task: asyncio.Task[None] | None = None
         self._control: ControlServer | None = None
         self._fleet: FleetMember | None = None
@@ -237,8 +238,14 @@
 
     async def drain(self) -> None:
         """Shut down gracefully, before the platform's earliest SIGKILL; see `Shutdown`."""
+        # Imported only at the end of a process.
+        from pebblepass.daemon.shutdown import Shutdown
+
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
-        await Shutdown(self._loop, self.host, self.clients, self._upgrade, longest).run()
+        shutdown = Shutdown(
+            self._loop, self.host, self.clients, self._upgrade, longest, lambda: self.on_overtime()
+        )
+        await shutdown.run()
 
     def stop(self) -> None:
         """Abort every connection, as an exit of the process does; nothing is sent from now on."""
--- a/pebblepass/daemon/process.py
+++ b/pebblepass/daemon/process.py
@@ -149,6 +149,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     if accounting is not None:
         daemon.host.ledger = accounting.ledger
+        daemon.on_overtime = accounting.write_snapshot
         loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("%s", accounting.summary_line()))
         await accounting.start(daemon.host.now, daemon.host.open_requests)
     await daemon.start()
--- a/pebblepass/daemon/shutdown_plan.py
+++ b/pebblepass/daemon/shutdown_plan.py
@@ -15,7 +15,7 @@
 
 # From the deadline that counts.
 ANSWER_SLACK_S = 0.55
-KILL_SLACK_S = 0.65
+KILL_SLACK_S = 0.6  # a process needs some hundredths of a second for its exit
 
 SERVED_FRACTION = 0.5
 """Fraction of the deadline that counts for which new commands are still served."""
