--- a/tests/soak/test_broken_variants.py
+++ b/tests/soak/test_broken_variants.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.soak.faults import FIRST_SEED, Fault, fault_of
 from tests.soak.history import broken_rules
 from tests.soak.run import make_plan, run_soak
 
@@ -22,3 +23,17 @@
     plan = replace(make_plan(1), bad_clients=bad_clients)
     history = run_soak(1, plan, f"tests.soak.broken.{variant}")
     assert any(line in broken for broken in broken_rules(history))
+
+
+FAULT_VARIANTS = {
+    Fault.BREAKING_VALUES: ("never_holds_values", "lost"),
+    Fault.VALUES_WITHOUT_LENGTH: ("keeps_ended_answers", "KB of memory"),
+    Fault.LONG_CLASS: ("plans_with_any_deadline", "lost"),
+}
+
+
+@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + len(FAULT_VARIANTS)))
+def test_soak_finds_the_broken_variant_of_a_fault(seed: int) -> None:
+    variant, line = FAULT_VARIANTS[fault_of(seed)]
+    history = run_soak(seed, module=f"tests.soak.broken.{variant}")
+    assert any(line in broken for broken in broken_rules(history))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from tests.soak.faults import FIRST_SEED, Fault, fault_of
 from tests.soak.history import broken_rules
 from tests.soak.run import BAD_CLIENTS, make_plan, run_soak
 
 SEEDS = (*range(1, 17), 403)
+FAULT_SEEDS = range(FIRST_SEED, FIRST_SEED + 6)
 
 
 def test_the_seeds_draw_runs_with_and_without_a_crowd_and_hanging_servers() -> None:
@@ -23,3 +25,14 @@
     assert broken_rules(history) == []
     assert history.requests
     assert history.figures or history.was_killed
+
+
+@pytest.mark.parametrize("seed", FAULT_SEEDS)
+def test_no_rule_is_broken_beside_a_fault_of_the_servers(seed: int) -> None:
+    history = run_soak(seed)
+    assert broken_rules(history) == []
+    assert any(request.request_class == "fault" for request in history.requests.values())
+
+
+def test_the_seeds_draw_every_fault() -> None:
+    assert {fault_of(seed) for seed in (*SEEDS, *FAULT_SEEDS)} == set(Fault)
