A value that is complete at its start begins before its attempt ends

Need: reading over the hold of long values: a value of unknown length is complete when it begins, and `start_value` resumed its source, which passed all of it on and ended the attempt before the decision module had heard of the value's start. A connection in a handover that never ends would have held a process past its plan.

Change: only a reply that had to wait resumes its source. In overtime a handover has the same 2 s as a client. Open requests fail at each step again, as a multi-get that was read before may begin later.

Measured: the new test fails at the commit before (AttemptEnded, then StreamStarted).

--- a/pebblepass/daemon/last_replies.py
+++ b/pebblepass/daemon/last_replies.py
@@ -95,7 +95,8 @@
             if connection.closed:
                 del self._observations[connection]
             elif connection.in_handover:
-                continue
+                if is_overtime and self._is_stalled(connection, known, now):
+                    self._abort(connection, CloseReason.EXIT)
             elif is_replying and self._is_stalled(connection, known, now):
                 self._abort(connection, CloseReason.STALLED)
             elif not is_replying and not connection.has_waiting_commands:
--- a/pebblepass/daemon/reply.py
+++ b/pebblepass/daemon/reply.py
@@ -155,7 +155,7 @@
         self._buffer(header)
         if self.is_next and not self._connection.blocked:
             self._hold_or_begin(self._value)
-        else:
+        if not self.is_next or self._connection.blocked:
             source.pause()
 
     @property
@@ -165,13 +165,13 @@
 
     def _hold_or_begin(self, value: LongValue) -> None:
         """Hold the value, or begin to pass it on: all replies ahead are written."""
-        if not value.is_held and self._may_hold(value):
+        if value.is_held:
+            return
+        if self._may_hold(value):
             self._reserve(value.size - sum(map(len, self._buffered)))
             value.hold(self._connection.call_later(value.hold_s, self._hold_expired))
-        if not value.is_held:
+        else:
             self._begin_value(value)
-        elif self.source is not None:
-            self.source.resume()
 
     def _may_hold(self, value: LongValue) -> bool:
         connection = self._connection
@@ -195,7 +195,7 @@
         value.is_begun = True
         self._release_answer()
         self._connection.value_begun()
-        self.write_buffered()
+        self._write_parts()
 
     def _complete_value(self, value: LongValue) -> None:
         """Write what is held: only the last part is missing."""
@@ -260,11 +260,16 @@
 
     def write_buffered(self) -> None:
         """Write what is buffered, until the client has to read: the replies ahead have been written."""
+        connection, value = self._connection, self._value
+        if value is None or value.is_begun:
+            self._write_parts()
+        elif not connection.blocked:
+            self._hold_or_begin(value)
+        if self.source is not None and not connection.blocked:
+            self.source.resume()
+
+    def _write_parts(self) -> None:
         connection, written = self._connection, 0
-        if self._value is not None and not self._value.is_begun:
-            if not connection.blocked:
-                self._hold_or_begin(self._value)
-            return
         for data in self._buffered:
             if connection.blocked:
                 break
@@ -272,5 +277,3 @@
             connection.memory.replies.take(-len(data))
             connection.write(data)
         del self._buffered[:written]
-        if self.source is not None and not connection.blocked:
-            self.source.resume()
--- a/pebblepass/daemon/shutdown.py
+++ b/pebblepass/daemon/shutdown.py
@@ -107,10 +107,8 @@
             self._last_replies.observe(self._clients.connections, now)
 
     async def _end_connections(self) -> None:
-        """Fail what is open, and end each connection after its last reply."""
+        """End each connection after its last reply."""
         clients, last_replies = self._clients, self._last_replies
-        # Warning: a request may have a later deadline than that, but SIGKILL would end it without a reply.
-        self._host.end_open()
         clients.shutting_down = True
         last_replies.observe(clients.connections, self._loop.time())
         last_replies.stop_reading()
@@ -124,7 +122,9 @@
             last_replies.observe(clients.connections, self._loop.time())
 
     def _end_finished(self) -> bool:
-        """End the connections that are owed nothing; returns whether some are left."""
+        """Fail what is open, and end the connections that are owed nothing; returns whether some are left."""
+        # Warning: a request may have a later deadline than that, but SIGKILL would end it without a reply.
+        self._host.end_open()
         is_owing = self._host.open_request_count > 0 or self._clients.owes_replies
         is_overtime = self._is_past(self._plan.end_at)
         return self._last_replies.end_finished(self._loop.time(), not is_owing, is_overtime)
--- a/tests/daemon/test_broken_values.py
+++ b/tests/daemon/test_broken_values.py
@@ -254,3 +254,34 @@
         harness.assert_nothing_left()
 
     run_with_router(test)
+
+
+def test_complete_value_of_unknown_length_begins_before_its_attempt_ends() -> None:
+    """Guards against a decision module that learns of a value's start after its end."""
+
+    async def test(harness: RouterHarness) -> None:
+        def serve(connection: PeerConnection, name: str) -> None:
+            if name != "long":
+                harness.origin.serve(connection, name)
+                return
+            connection.transport.write(b"HTTP/1.1 200 OK\r\n\r\n" + VALUE)
+            connection.transport.close()
+
+        harness.caches["a"].on_request, harness.origin.on_request = harness.caches["a"].miss, serve
+        events: list[str] = []
+        handle_event = harness.host.handle_event
+
+        def record(event: Any) -> None:
+            if getattr(event, "request", "") == "long":
+                events.append(type(event).__name__)
+            handle_event(event)
+
+        harness.host.handle_event = record
+        client = await harness.client()
+        send_batch(client)
+        await harness.wait(0.5)
+        assert client.replies() == [VALUE, *OTHERS]
+        assert events[-2:] == ["StreamStarted", "AttemptEnded"]
+        harness.assert_nothing_left()
+
+    run_with_router(test)
