--- a/tests/daemon/test_broken_values.py
+++ b/tests/daemon/test_broken_values.py
@@ -285,3 +285,17 @@
         harness.assert_nothing_left()
 
     run_with_router(test)
+
+
+def test_commands_behind_a_value_that_breaks_after_its_hold_are_answered() -> None:
+    """Guards against answers that are lost, as nobody may hold a value back for 2 s."""
+
+    async def test(harness: RouterHarness) -> None:
+        serve_in_two_parts(harness, MAX_HOLD_S + 0.2, reset)
+        client = await harness.client()
+        send_batch(client)
+        await harness.wait(MAX_HOLD_S + 0.5)
+        harness.assert_nothing_left()
+        assert [reply for reply in OTHERS if reply not in client.replies()] == []
+
+    run_with_router(test)
