A call to a slow discovery stays open while another one begins beside it

Cause: calls were given up after 1.5, 1.0, 1.5 and 2.2 s although the service may take 2 s, and each next call queued anew.

Change: a call without a response stays open until it can't be answered any more; another begins beside it when the deadline wants it, and the first usable response counts. Calls at replaced addresses go on until a later address has responded; calls that fail at once after a reload are repeated within its 4 s; a list with a lower version than one that came meanwhile is asked for again. Discovery's descriptors are 5 in place of 2. Why it works: a lost call and one that takes the service's whole limit end 3.8 s after SIGHUP, and a call that is waited for no longer loses its turn.

--- a/pebblepass/connection_limits/descriptors.py
+++ b/pebblepass/connection_limits/descriptors.py
@@ -9,8 +9,10 @@
 
 PENDING_ACCEPTS = 3
 """Connections that are accepted but not yet registered or closed."""
-BASE_DESCRIPTORS = 22
-"""Streams 3, event loop 10, listener 1, watches of discovery 2, a file 1, pending accepts 3, spare 2."""
+DISCOVERY_DESCRIPTORS = 5
+"""Three calls at the current address, and one at each of two earlier addresses."""
+BASE_DESCRIPTORS = 20 + DISCOVERY_DESCRIPTORS
+"""Streams 3, event loop 10, listener 1, a file 1, pending accepts 3, spare 2, and discovery's."""
 CONTROL_DESCRIPTORS = 3
 """The control address without its callers: its listener, and two pending accepts."""
 UPGRADE_DESCRIPTORS = 4
--- a/pebblepass/discovery/client.py
+++ b/pebblepass/discovery/client.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 
-from pebblepass.discovery.call_schedule import POLL_TIMING, PUSH_TIMING, CallSchedule
+from pebblepass.discovery.call_schedule import POLL_TIMING, PUSH_TIMING, RELOAD_RETRIES, CallSchedule
 from pebblepass.discovery.endpoint_list import ClockOffset, EndpointList
-from pebblepass.discovery.watch import Watch
+from pebblepass.discovery.watch import ReceivedList, Watch
 from pebblepass.wire.address import Address
 
 RETRY_DELAY_S = 0.1  # a service that pushes takes a watch for interrupted after 0.2 s without a call
@@ -44,56 +45,75 @@
         self._rng = rng
         self._schedule = self._new_schedule()
         self._list_origin = address  # the address from which the list in force was received
+        self._list_applied_at = -math.inf
         self._needs_full_list = False  # the next watch begins with the full list
-        self._watch: Watch | None = None
-        self._next: Watch | None = None  # at a new address, until its first response
+        self._watches: list[Watch] = []
+        """By the age of their configurations; only the first may have had a response.
+
+        The last is at the current address, unless the decision module has to subscribe there.
+        """
 
     def start(self) -> None:
         """Begin a watch with the full list, unless `change_address` has already begun one."""
-        if self._watch is None:
-            self._watch = self._begin(full=True)
+        if not self._watches:
+            self._begin(full=True)
 
     def subscribe(self) -> None:
         """Begin a watch, unless there is one at the current address."""
-        if self._next is not None:
-            return
-        if self._watch is None:
-            self._watch = self._begin(full=self._needs_full_list or self._list_origin != self._address)
-        elif self._watch.address != self._address:
-            self._next = self._begin(full=True)
+        if self._current_watch is None:
+            is_elsewhere = bool(self._watches) or self._list_origin != self._address
+            self._begin(full=self._needs_full_list or is_elsewhere)
 
     def change_address(self, address: Address) -> None:
-        """Switch to another address. The watch at the old one continues until the new one has responded."""
+        """Switch to another address.
+
+        Calls to earlier addresses go on until a later address has responded: that of the list in force, and
+        the one that has waited longest for its first response.
+        """
         if address == self._address:
             return
         self._address = address
-        if self._next is not None:
-            self._next.close()
-            self._next = None
-        if self._watch is not None and self._watch.address == address:
-            self._schedule = self._watch.schedule
-            return
-        self._schedule = self._new_schedule()
-        if self._watch is not None:
-            self._next = self._begin(full=True)
-        elif not self._polled:
-            self.start()
+        self._schedule = self._new_schedule(RELOAD_RETRIES)
+        for watch in self._watches:
+            watch.supersede()
+        for watch in self._watches[2:]:
+            watch.close()
+        del self._watches[2:]
+        self._begin(full=True)
 
     def close(self) -> None:
         """End all calls."""
-        for watch in (self._watch, self._next):
-            if watch is not None:
-                watch.close()
-        self._watch = self._next = None
-
-    def _new_schedule(self) -> CallSchedule:
-        return CallSchedule(POLL_TIMING if self._polled else PUSH_TIMING, self._rng)
-
-    def _begin(self, full: bool) -> Watch:
+        for watch in self._watches:
+            watch.close()
+        self._watches.clear()
+
+    def diagnostic_line(self) -> str:
+        """Return one line on the list in force and the open calls, for an operator."""
+        age_s = asyncio.get_running_loop().time() - self._list_applied_at
+        received = f"received {age_s:.1f} s ago" if age_s < math.inf else "not received by this process"
+        calls = ", ".join(
+            f"{watch.open_calls} at {watch.address[0]}:{watch.address[1]}" for watch in self._watches
+        )
+        return f"discovery: list {self.generation}, {received}; open calls: {calls or 'none'}"
+
+    @property
+    def open_calls(self) -> int:
+        """How many calls have no response yet, at all addresses."""
+        return sum(watch.open_calls for watch in self._watches)
+
+    @property
+    def _current_watch(self) -> Watch | None:
+        """The watch at the current address."""
+        return self._watches[-1] if self._watches and not self._watches[-1].is_superseded else None
+
+    def _new_schedule(self, retries: int = 0) -> CallSchedule:
+        return CallSchedule(POLL_TIMING if self._polled else PUSH_TIMING, self._rng, retries)
+
+    def _begin(self, full: bool) -> None:
         watch = Watch(self._address, self._clock, self._schedule, self.generation, full)
+        self._watches.append(watch)
         run = self._run_polled(watch) if self._polled else self._run_pushed(watch)
         watch.task = asyncio.get_running_loop().create_task(run)
-        return watch
 
     async def _run_pushed(self, watch: Watch) -> None:
         while True:
@@ -104,32 +124,41 @@
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def _run_polled(self, watch: Watch) -> None:
-        next_is_due = True
-        while next_is_due:
+        delay_s: float | None = 0.0
+        while delay_s is not None:
+            await asyncio.sleep(delay_s)
             try:
                 await self._poll_and_apply(watch)
             except Exception as error:
-                next_is_due = watch.failed(error)
+                delay_s = watch.failed(error)
+            else:
+                delay_s = 0.0
         # After an error response the connection is still open, and the next watch opens another one.
         watch.close_connection()
         self._needs_full_list = self._needs_full_list or watch.needs_full_list
-        if watch is self._next:
-            # Warning: the watch at the old address may last long, and no other watch polls the new address.
-            self._next = None
-        else:
-            self._watch = None
-        if self._next is None:
+        self._watches.remove(watch)
+        if not watch.is_superseded:
+            # Warning: a watch at an old address may last long, and no other watch polls the current one.
             self._failed()
 
     async def _poll_and_apply(self, watch: Watch) -> None:
-        listed = await watch.poll()
-        if not self._apply_list(watch, listed):
+        received = await watch.poll()
+        if self._may_be_outdated(received):
+            watch.rejected()
+        elif not self._apply_list(watch, received.listed):
             await asyncio.sleep(REJECTED_LIST_DELAY_S)
 
+    def _may_be_outdated(self, received: ReceivedList) -> bool:
+        """Whether a list has a lower generation than one that another address sent while its call was open.
+
+        Either it is older, or the service counts generations from the start again: a call begun now tells.
+        """
+        is_older = received.listed.generation < self.generation
+        return is_older and received.call_started_at < self._list_applied_at
+
     def _apply_list(self, watch: Watch, listed: EndpointList) -> bool:
         """Put a list in force; return False if that failed, and the watch then requests the full list."""
-        if watch is self._next:
-            self._switch_to_next(watch)
+        self._close_earlier(watch)
         try:
             self._apply(listed)
         except Exception:
@@ -143,11 +172,14 @@
         watch.accepted(listed)
         self.generation = listed.generation
         self._list_origin, self._needs_full_list = watch.address, False
+        self._list_applied_at = asyncio.get_running_loop().time()
         return True
 
-    def _switch_to_next(self, watch: Watch) -> None:
-        # The old watch is closed only now, after the new address has responded, to avoid a gap.
-        if self._watch is not None:
-            self._watch.close()
-        self._watch, self._next = watch, None
-        log.info("discovery: switched to %s:%d", *watch.address)
+    def _close_earlier(self, watch: Watch) -> None:
+        """Close the watches at earlier addresses: only now, as a later one has responded, to avoid a gap."""
+        index = self._watches.index(watch)
+        for earlier in self._watches[:index]:
+            earlier.close()
+        del self._watches[:index]
+        if watch.address != self._list_origin:
+            log.info("discovery: switched to %s:%d", *watch.address)
--- a/pebblepass/discovery/watch.py
+++ b/pebblepass/discovery/watch.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import logging
+import math
+from typing import NamedTuple
 
 import msgspec
 
 from pebblepass.decisions import ListKind
+from pebblepass.discovery.call import Call
 from pebblepass.discovery.call_schedule import CallSchedule, PlannedCall
 from pebblepass.discovery.connection import DiscoveryConnection, Response
 from pebblepass.discovery.endpoint_list import ClockOffset, EndpointList, parse_endpoint_list
@@ -15,6 +18,7 @@
 
 LIST_PATH = "/registry/instances"
 HTTP_OK = 200
+MAX_OPEN_CALLS = 3
 
 log = logging.getLogger("pebblepass")
 
@@ -23,6 +27,13 @@
     """The discovery service responded without a usable list."""
 
 
+class ReceivedList(NamedTuple):
+    """A list, and when the call that returned it was started, in seconds of the loop's clock."""
+
+    listed: EndpointList
+    call_started_at: float
+
+
 class Watch:
     """Calls one address of the discovery service, and tracks the generation of the list received from it."""
 
@@ -32,23 +43,42 @@
         """`generation`: of the list in force; `full`: begin with the full list."""
         self.address, self.schedule = address, schedule
         self.needs_full_list = full
+        self.is_superseded = False
+        """Whether the address is no longer the configured one."""
         self.task: asyncio.Task[None] | None = None
         self._generation, self._clock = generation, clock
-        self._connection: DiscoveryConnection | None = None
+        self._connection: DiscoveryConnection | None = None  # idle, for the next call
+        self._calls: list[Call] = []  # the open ones, oldest first
+        self._given_up = 0  # calls without a response that are no longer open, since the last response
 
-    async def poll(self) -> EndpointList:
-        """Make one call and return its list; raises an exception of any type if the call failed."""
-        call = self.schedule.plan(self.needs_full_list)
-        try:
-            async with asyncio.timeout(call.timeout_s):
-                connection = await self._connect()
-                response = await connection.get(self._target(call), "{}:{}".format(*self.address))
-        except BaseException:
-            self.close_connection()
-            raise
-        listed = self._parse(response)
-        self.schedule.record_success()
-        return listed
+    async def poll(self) -> ReceivedList:
+        """Call until the first usable response and return its list; raises the last call's error.
+
+        While a call has no response, others begin beside it, as the schedule has it; of those that fail at
+        once, one is repeated.
+        """
+        loop = asyncio.get_running_loop()
+        self._given_up, failure = 0, None
+        next_at = self._begin_call(self.schedule.plan(self.needs_full_list), self._take_connection())
+        while True:
+            await self._wait_for_a_call(math.inf if self.is_superseded else next_at)
+            if (ended := self._take_ended()) is not None:
+                try:
+                    return self._finish(ended)
+                except TimeoutError:
+                    # If the next call is due at some time, it begins in place of this one.
+                    if not self._calls and (self.is_superseded or next_at == math.inf):
+                        raise failure or TimeoutError from None
+                except Exception as error:
+                    if not self._calls:
+                        raise
+                    delay_s = self.schedule.record_failure_beside_open_call()
+                    next_at = math.inf if failure else min(next_at, loop.time() + delay_s)
+                    failure = error.with_traceback(None)  # it would keep this frame, and with it the response
+            elif not self.is_superseded:
+                self._log_overdue()
+                planned = self.schedule.plan_immediate(self.needs_full_list, self._unanswered)
+                next_at = self._begin_call(planned)
 
     def accepted(self, listed: EndpointList) -> None:
         """Continue after this list, which is now in force."""
@@ -58,43 +88,107 @@
         """Request the full list next, because it is unknown how much of the last one was applied."""
         self.needs_full_list = True
 
-    def failed(self, error: Exception) -> bool:
-        """Record a failed call; return whether the next is due immediately."""
+    def failed(self, error: Exception) -> float | None:
+        """Record that the last open call failed; return the delay before the next one in seconds, if any."""
         if not self.schedule.is_failing:
             log.warning(
-                "discovery: a call to %s:%d failed; keeping the list in force and retrying: %s",
+                "discovery: a call to %s:%d failed; keeping list %d in force and retrying: %s",
                 *self.address,
+                self._generation,
                 str(error) or type(error).__name__,
             )
-        return self.schedule.record_failure(timed_out=isinstance(error, TimeoutError))
+        delay_s = self.schedule.record_failure(timed_out=isinstance(error, TimeoutError))
+        return delay_s if not self.is_superseded or delay_s == 0.0 else None
+
+    def supersede(self) -> None:
+        """Begin no call beside the oldest open one, as another address is configured."""
+        self.is_superseded = True
+        for call in self._calls[1:]:
+            call.close()
+        del self._calls[1:]
 
     def close_connection(self) -> None:
-        """Close the connection, if there is one."""
+        """Close the open calls and the idle connection."""
+        for call in self._calls:
+            call.close()
+        self._calls.clear()
         if self._connection is not None:
             self._connection.close()
+            self._connection = None
 
     def close(self) -> None:
-        """Cancel the calls and close the connection."""
+        """Cancel the calls and close their connections."""
         if self.task is not None:
             self.task.cancel()
         self.close_connection()
 
+    @property
+    def open_calls(self) -> int:
+        """How many calls have no response yet."""
+        return len(self._calls)
+
+    @property
+    def _unanswered(self) -> int:
+        """How many calls have had no response, open or not, since the last one."""
+        return self._given_up + len(self._calls)
+
+    def _begin_call(self, planned: PlannedCall, connection: DiscoveryConnection | None = None) -> float:
+        """Begin a call, and return when another one is to begin beside it."""
+        if len(self._calls) == MAX_OPEN_CALLS:
+            self._calls.pop(0).close()
+            self._given_up += 1
+        timeout_s = self.schedule.timing.connect_timeout_s
+        call = Call(self.address, self._target(planned), planned, timeout_s, connection, self._unanswered)
+        self._calls.append(call)
+        return call.started_at + planned.overlap_after_s
+
+    def _take_connection(self) -> DiscoveryConnection | None:
+        connection, self._connection = self._connection, None
+        return connection
+
+    async def _wait_for_a_call(self, until: float) -> None:
+        """Wait until a call has ended, at most until that time."""
+        timeout_s = None if until == math.inf else max(until - asyncio.get_running_loop().time(), 0.0)
+        if tasks := [call.task for call in self._calls]:
+            await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        else:
+            await asyncio.sleep(timeout_s or 0.0)
+
+    def _take_ended(self) -> Call | None:
+        for call in self._calls:
+            if call.task.done():
+                self._calls.remove(call)
+                return call
+        return None
+
+    def _finish(self, ended: Call) -> ReceivedList:
+        """Return the list of an ended call and close the others; raises an error of any type."""
+        try:
+            listed = self._parse(ended.task.result())
+        except BaseException as error:
+            self._given_up += isinstance(error, TimeoutError)
+            ended.close()
+            raise
+        self.schedule.record_success(ended.unanswered)
+        self.close_connection()
+        self._connection = ended.connection
+        return ReceivedList(listed, ended.started_at)
+
+    def _log_overdue(self) -> None:
+        if len(self._calls) == 1:
+            oldest = self._calls[0]
+            log.info(
+                "discovery: no response from %s:%d after %.1f s; list %d stays in force, calling again",
+                *self.address,
+                asyncio.get_running_loop().time() - oldest.started_at,
+                self._generation,
+            )
+
     def _target(self, call: PlannedCall) -> str:
         if call.wait_s is None:
             return LIST_PATH
         return f"{LIST_PATH}?index={self._generation}&wait={int(call.wait_s * 1000)}"
 
-    async def _connect(self) -> DiscoveryConnection:
-        if self._connection is not None and self._connection.is_usable:
-            return self._connection
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(self.schedule.timing.connect_timeout_s):
-                _, self._connection = await loop.create_connection(DiscoveryConnection, *self.address)
-        except TimeoutError:
-            raise ConnectionError("connecting timed out") from None
-        return self._connection
-
     def _parse(self, response: Response) -> EndpointList:
         if response.status != HTTP_OK:
             raise DiscoveryError(f"the response has status {response.status}")
