Diagnostics and the log tell how old the endpoint list is

Change: GET /control/diagnostics has the list's version, how many seconds ago it came, the open calls and how many earlier addresses are still called. The warning on a call without a response says after how long it was given up. No metric, no report and no other page changes.

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -124,7 +124,7 @@
         return self._account.uses()
 
     def _diagnostic_lines(self) -> list[str]:
-        return [*self._memory.lines(), *self.clients.closes.lines()]
+        return [*self._memory.lines(), *self.clients.closes.lines(), *self._discovery.diagnostic_lines()]
 
     def enable_multi_get(self, section: MultiGetSection) -> None:
         """Enable multi-gets; call it before `start`."""
--- a/pebblepass/discovery/call.py
+++ b/pebblepass/discovery/call.py
@@ -36,19 +36,24 @@
     def close(self) -> None:
         """End the call and its connection."""
         self.task.cancel()
-        if self.connection is not None:
-            self.connection.close()
+        self._close_connection()
 
     async def _run(self) -> Response:
         try:
             async with asyncio.timeout(self.planned.timeout_s):
                 connection = await self._connect()
                 return await connection.get(self._target, "{}:{}".format(*self._address))
+        except TimeoutError:
+            self._close_connection()
+            raise TimeoutError(f"no response within {self.planned.timeout_s:.1f} s") from None
         except BaseException:
-            if self.connection is not None:
-                self.connection.close()
+            self._close_connection()
             raise
 
+    def _close_connection(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+
     async def _connect(self) -> DiscoveryConnection:
         if self.connection is not None and self.connection.is_usable:
             return self.connection
--- a/pebblepass/discovery/client.py
+++ b/pebblepass/discovery/client.py
@@ -87,14 +87,17 @@
             watch.close()
         self._watches.clear()
 
-    def diagnostic_line(self) -> str:
-        """Return one line on the list in force and the open calls, for an operator."""
-        age_s = asyncio.get_running_loop().time() - self._list_applied_at
-        received = f"received {age_s:.1f} s ago" if age_s < math.inf else "not received by this process"
-        calls = ", ".join(
-            f"{watch.open_calls} at {watch.address[0]}:{watch.address[1]}" for watch in self._watches
-        )
-        return f"discovery: list {self.generation}, {received}; open calls: {calls or 'none'}"
+    def diagnostic_lines(self) -> list[str]:
+        """Return figures of the list in force and of the open calls, one line each: a name and a number."""
+        lines = [
+            f"discovery.list_generation {self.generation}",
+            f"discovery.open_calls {self.open_calls}",
+            f"discovery.earlier_addresses_called {sum(watch.is_superseded for watch in self._watches)}",
+        ]
+        if self._list_applied_at > -math.inf:
+            age_s = asyncio.get_running_loop().time() - self._list_applied_at
+            lines.append(f"discovery.list_received_seconds_ago {age_s:.3f}")
+        return lines
 
     @property
     def open_calls(self) -> int:
--- a/pebblepass/discovery/watch.py
+++ b/pebblepass/discovery/watch.py
@@ -65,10 +65,10 @@
             if (ended := self._take_ended()) is not None:
                 try:
                     return self._finish(ended)
-                except TimeoutError:
+                except TimeoutError as timeout:
                     # If the next call is due at some time, it begins in place of this one.
                     if not self._calls and (self.is_superseded or next_at == math.inf):
-                        raise failure or TimeoutError from None
+                        raise failure or timeout from None
                 except Exception as error:
                     if not self._calls:
                         raise
