A process that takes over waits 1.8 s for its first list

Need: after an upgrade discovery's news counts as told 2 s after the new process says yes. It said yes 1 s after its start at the latest, with the list of the process before: a first list whose call is lost and whose next call takes the service's 2 s comes 3.8 s after the start, 0.8 s too late.

Change: with an imported list the new process waits up to 1.8 s for its own (the platform gives 6 s), and calls discovery at once also if its configuration has a list. With an answer it says yes as soon as before.

--- a/pebblepass/daemon/daemon.py
+++ b/pebblepass/daemon/daemon.py
@@ -32,6 +32,9 @@
     from pebblepass.operator_config import FleetSection, MultiGetSection
 
 READY_S = 1.0  # time to wait for discovery's first endpoint list before the cached one is used
+UPGRADE_READY_S = 1.8
+"""The same for the list of the process before: a change has to be known 2 s after this process is ready, and
+the first list comes up to 3.8 s after the start if its first call is lost."""
 START_SHARE = 0.4  # fraction of the CPU quota; clients are accepted once the start has used no more than this
 MAX_SETTLING_S = 0.4  # maximum delay before clients are accepted after a start that used much CPU time
 RELOAD_TRIES, RELOAD_STEP_S = 20, 0.1  # the file may be incomplete while it is written
@@ -158,11 +161,14 @@
             await self.clients.listen(self._config.listen)
         else:
             await self._start_upgrade(adopt_listener(self._config.inherited, self._config.listen))
+        is_successor = self._upgrade is not None and self._upgrade.has_imported_state
         # If lists have to be requested, the decision module requests one after it has received the cached
-        # one.
-        if self._config.known is None or not self._config.settings.must_subscribe:
+        # one. A successor can't wait for that.
+        if self._config.known is None or not self._config.settings.must_subscribe or is_successor:
             self._discovery.start()
-        if self._config.known is not None:
+        if is_successor:
+            self._loop.call_later(UPGRADE_READY_S, self._become_ready)
+        elif self._config.known is not None:
             self._loop.call_later(READY_S, self._become_ready)
 
     async def _start_upgrade(self, listener: socket.socket) -> None:
@@ -187,8 +193,6 @@
             parts, listener, folder, self._allocation.own + self._allocation.rejected
         )
         await self._upgrade.begin()
-        if self._upgrade.has_imported_state:
-            self._loop.call_later(READY_S, self._become_ready)
 
     def is_ready(self) -> bool:
         """Whether it has an endpoint list, accepts requests, and is ready in its fleet if it has one."""
--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import subprocess
 import sys
 from importlib.util import find_spec
@@ -12,7 +13,9 @@
 import pytest
 
 from pebblepass.daemon.config import read_config
-from pebblepass.daemon.daemon import MAX_SETTLING_S, READY_S, Daemon
+from pebblepass.daemon.daemon import MAX_SETTLING_S, READY_S, UPGRADE_READY_S, Daemon
+from pebblepass.decisions import ListKind
+from pebblepass.discovery.endpoint_list import parse_endpoint_list
 from pebblepass.emulators.ports import take_port
 from pebblepass.simulation.clock import VirtualLoop
 from tests.sockets import ROOT, SETTINGS
@@ -96,6 +99,71 @@
     assert silent_s <= ready_after(mode, None, silent_s) < silent_s + READY_LIMIT_S / 2
 
 
+class ImportedState:
+    """An upgrade in which the process before has sent its state."""
+
+    has_imported_state = True
+
+    def ready(self) -> None:
+        """Ignore that this process is ready."""
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+
+class Successor(Daemon):
+    """A router that has imported the endpoint list of the process before."""
+
+    async def _start_upgrade(self, listener: socket.socket) -> None:
+        self._upgrade = cast(Any, ImportedState())
+        self.host.servers_changed(parse_endpoint_list(LAST_LIST, self._clock, ListKind.CACHED))
+        listener.detach()
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+@pytest.mark.parametrize("known", [None, LAST_LIST])
+@pytest.mark.parametrize("silent_s", [0.0, 1.0, 60.0])
+def test_successor_waits_for_its_first_list_so_that_changes_are_known_in_time(
+    silent_s: float, known: dict[str, Any] | None, mode: str
+) -> None:
+    """A change has to be known 2 s after a successor is ready, however late discovery answers its calls."""
+
+    async def work(loop: VirtualLoop) -> None:
+        started_at = loop.time()
+        agent = await loop.create_server(lambda: Agent(loop, started_at + silent_s), "127.0.0.1", 0)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            config = {
+                "listen": "{}:{}".format(*listener.getsockname()),
+                "discovery": "{}:{}".format(*agent.sockets[0].getsockname()),
+                "settings": {**SETTINGS, "membershipMode": mode},
+                "known": known,
+                "limits": {"cores": 0.1, "sockets": 160},
+            }
+            environ = {"LB_INHERITED_FD": str(listener.fileno())}
+            daemon = Successor(loop, read_config(config, environ), loop.unix_ns)
+            await daemon.start()
+            while not daemon.host.ready:
+                await asyncio.sleep(0.01)
+            ready_s = loop.time() - started_at
+            await asyncio.sleep(2.0)
+            lines = [line.split() for line in daemon._diagnostic_lines() if line.startswith("discovery.")]
+            figures = {name: float(figure) for name, figure in lines}
+            daemon.stop()
+        agent.close()
+        await asyncio.sleep(0.1)
+        if silent_s < UPGRADE_READY_S:
+            assert silent_s <= ready_s <= UPGRADE_READY_S + 0.1
+            assert figures["discovery.list_generation"] == 3
+            assert figures["discovery.list_received_seconds_ago"] >= 0.0
+        else:
+            assert UPGRADE_READY_S - 0.02 <= ready_s <= UPGRADE_READY_S + 0.1
+            assert "discovery.list_received_seconds_ago" not in figures
+            assert figures["discovery.open_calls"] >= 1
+        assert figures["discovery.earlier_addresses_called"] == 0
+
+    run_virtual(work)
+
+
 def test_start_imports_nothing_that_only_the_operators_file_needs() -> None:
     """Imports take most of a start's CPU, which on a fraction of a core is the time until it is ready."""
     packages = (
--- a/tests/discovery/test_slow_responses.py
+++ b/tests/discovery/test_slow_responses.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 
+from pebblepass.daemon.daemon import UPGRADE_READY_S
 from pebblepass.discovery.call_schedule import CallSchedule, PlannedCall
 from pebblepass.discovery.endpoint_list import EndpointList
 from pebblepass.discovery.watch import MAX_OPEN_CALLS
@@ -28,7 +29,6 @@
 FIRST_CALL_FAULTS = ("503", "reset", "refused", "connect hangs", "stall", "truncated")
 READY_BEFORE = ["s1", "s2"]
 READY_AFTER = {"drain": ["s2"], "removal": ["s2"], "new server": ["s1", "s2", "s3"]}
-UPGRADE_READY_S = 2.0
 
 
 class SlowRegistry(FaultyRegistry):
@@ -259,7 +259,7 @@
 @pytest.mark.parametrize("first_call", ["answered", *FIRST_CALL_FAULTS])
 @pytest.mark.parametrize("response_time_s", RESPONSE_TIMES_S)
 def test_first_list_is_known_before_an_upgrade_counts(response_time_s: float, first_call: str) -> None:
-    """A change counts as known 2 s after the new process is ready, which waits 2 s for its first list."""
+    """A change counts as known 2 s after the new process is ready, which waits for its first list."""
 
     async def scenario(loop: FaultyLoop) -> None:
         (registry,) = await open_registries(loop, 1, response_time_s)
