The soak has a discovery that is slow while a cache server drains

A check counts attempts that reach the server more than 0.35 s after the moment by which the router has to know (the shortest grace and 50 ms).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,7 +11,9 @@
 from tests.sockets import MISS, SETTINGS, get, hit, put, reset
 
 FIRST_SEED = 1000
-"""Seeds from here on have a fault; those before are played without one, as they always were."""
+"""Seeds from here on have a fault of the servers; those before are played without one, as always."""
+FIRST_SLOW_SEED = 2000
+"""Seeds from here on have a slow discovery."""
 VALUE_FRACTION = 0.4
 """Fraction of the requests that are reads of long values; with LONG_CLASS, all are of that class."""
 VALUE_BYTES = {"break": 300_000, "no-length": 3 << 20}
@@ -35,21 +37,28 @@
     """Long values of the origin without a length, which are reset on the way."""
     LONG_CLASS = "long-class"
     """Writes of a class whose deadline is longer than the platform waits at a planned restart."""
+    SLOW_DISCOVERY = "slow-discovery"
+    """Discovery that is polled and slow, while a cache server begins to drain; see `slow_discovery`."""
 
 
 def fault_of(seed: int) -> Fault:
     """Return the fault of a seed."""
-    faults = [fault for fault in Fault if fault is not Fault.NONE]
+    if seed >= FIRST_SLOW_SEED:
+        return Fault.SLOW_DISCOVERY
+    faults = (Fault.BREAKING_VALUES, Fault.VALUES_WITHOUT_LENGTH, Fault.LONG_CLASS)
     return faults[seed % len(faults)] if seed >= FIRST_SEED else Fault.NONE
 
 
 def request_fraction(fault: Fault) -> float:
     """Return the fraction of the requests that a fault concerns."""
-    return {Fault.NONE: 0.0, Fault.LONG_CLASS: 1.0}.get(fault, VALUE_FRACTION)
+    fractions = {Fault.NONE: 0.0, Fault.SLOW_DISCOVERY: 0.0, Fault.LONG_CLASS: 1.0}
+    return fractions.get(fault, VALUE_FRACTION)
 
 
 def settings(fault: Fault) -> dict[str, Any]:
     """Return the settings of a router."""
+    if fault is Fault.SLOW_DISCOVERY:
+        return {**SETTINGS, "membershipMode": "subscribe"}
     if fault is not Fault.LONG_CLASS:
         return SETTINGS
     deadline = int(PATIENT_DEADLINE_S * 1e9)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
 ANSWER_SLACK_S = 0.5  # after its timeout in which an answer still counts as one
 ATTEMPT_SLACK_S = 0.1  # after the final answer in which an attempt may still reach its server
+DRAIN_SLACK_S = 0.35  # the shortest grace in the known settings, and 50 ms
 EXIT_MARGIN_S = 0.05  # from the end of a router's shutdown to the platform's earliest SIGKILL
 
 
@@ -32,6 +34,8 @@
 
     request_id: str
     arrived_at: float
+    server: str = ""
+    """Its name, if it is one that drains."""
 
 
 @dataclass
@@ -45,6 +49,8 @@
     unexpected_replies: list[bytes] = field(default_factory=list)
     """Replies for which no request was outstanding."""
     exit_code: int | None = None
+    drain_known_by: float = math.inf
+    """When the router has to know that the servers which `attempts` name drain or were removed."""
     was_killed: bool = False
     """Whether the platform's SIGKILL came before the exit."""
     log: str = ""
@@ -62,7 +68,7 @@
 
 def broken_rules(history: History) -> list[str]:
     """Return one line for each observation that breaks a rule."""
-    checks = (_answers, _attempts, _effects, _process, _figures)
+    checks = (_answers, _attempts, _drains, _effects, _process, _figures)
     return [line for check in checks for line in check(history)]
 
 
@@ -89,6 +95,15 @@
     return broken
 
 
+def _drains(history: History) -> list[str]:
+    late_after = history.drain_known_by + DRAIN_SLACK_S + history.observer_delay_s
+    late = [attempt for attempt in history.attempts if attempt.server and attempt.arrived_at > late_after]
+    if not late:
+        return []
+    late_s = late[-1].arrived_at - history.drain_known_by
+    return [f"drain: {len(late)} attempts at {late[-1].server} too late, the last by {late_s:.2f} s"]
+
+
 def _effects(history: History) -> list[str]:
     return [f"effect twice: {name}" for name, count in history.executed_writes.items() if count > 1]
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from pebblepass.emulators.ports import take_port
 from tests.overload.bad_clients import ID_PREFIX
@@ -30,6 +31,15 @@
 from tests.soak import faults
 from tests.soak.faults import Fault
 from tests.soak.history import Attempt, History, Request, broken_rules
+from tests.soak.slow_discovery import (
+    AFTER_WAIT_S,
+    RELOAD_DEADLINE_S,
+    SECOND_RELOAD_AFTER_S,
+    SILENCE_DEADLINE_S,
+    Disruption,
+    SlowDiscovery,
+    make_slow_plan,
+)
 from tests.sockets import (
     WAIT_TIMEOUT_S,
     DiscoveryPeer,
@@ -67,6 +77,8 @@
 KILL_DELAY_S = 0.7  # after the deadline that counts, from SIGTERM; the platform kills no earlier
 RECEIVE_TIMEOUT_S = 5.0  # of a client, longer than any request takes
 OBSERVER_PERIOD_S = 0.01
+DRAINING_SERVER = "drains"
+DRAIN_OBSERVED_S = 1.0  # for how long requests go on after a drain has to be known
 
 
 @dataclass(frozen=True)
@@ -171,21 +183,26 @@
         self._lock, self._stopped = threading.Lock(), threading.Event()
         self._rng = random.Random(seed)
         self._port = 0
+        self._config: dict[str, Any] = {}
 
     def run(self) -> History:
         """Run it, and return what was observed."""
         caches = {"hangs": Peer(self._hang_or_answer), "late": Peer(self._answer_late)}
         origin = Peer(self._serve_origin, is_http=True)
-        listed = [entry(peer, name) for name, peer in caches.items()]
-        discovery = DiscoveryPeer([*listed, entry(origin, "origin", "origin")])
-        process = self._start(discovery)
+        is_slow = self.plan.fault is Fault.SLOW_DISCOVERY
+        if is_slow:
+            caches[DRAINING_SERVER] = Peer(self._answer_while_draining)
+        listed = [*(entry(peer, name) for name, peer in caches.items()), entry(origin, "origin", "origin")]
+        discovery = SlowDiscovery(listed) if is_slow else DiscoveryPeer(listed)
+        process = self._start(discovery.peers[0] if isinstance(discovery, SlowDiscovery) else discovery.peer)
         try:
             eventually(lambda: is_ready(self._port) or process.poll() is not None, "the router is ready")
-            self._load_and_end(process)
+            self._load_and_end(process, discovery)
         finally:
             self._stopped.set()
             kill_process(process)
-            for peer in (*caches.values(), origin, discovery.peer):
+            discovery.close()
+            for peer in (*caches.values(), origin):
                 peer.close()
         self.history.log = (self._folder / "log").read_text()
         figures = self._folder / "n1.figures.json"
@@ -193,14 +210,14 @@
             self.history.figures = json.loads(figures.read_text())["figures"]
         return self.history
 
-    def _start(self, discovery: DiscoveryPeer) -> subprocess.Popen[str]:
+    def _start(self, discovery: Peer) -> subprocess.Popen[str]:
         self._port = take_port()
         operator = self._folder / "operator.toml"
         operator.write_text(f'[figures]\ndirectory = "{self._folder}"\nsnapshot_every_s = 1\n')
-        config = {
+        self._config = {
             "name": "n1",
             "listen": f"127.0.0.1:{self._port}",
-            "discovery": f"127.0.0.1:{discovery.peer.port}",
+            "discovery": f"127.0.0.1:{discovery.port}",
             "limits": {
                 "cores": 1.0,
                 "memory_mb": self.plan.memory_mb,
@@ -208,9 +225,11 @@
             },
             "settings": faults.settings(self.plan.fault),
         }
-        return start_router(self._folder, config, module=self._module, PEBBLEPASS_OPERATOR=str(operator))
+        return start_router(
+            self._folder, self._config, module=self._module, PEBBLEPASS_OPERATOR=str(operator)
+        )
 
-    def _load_and_end(self, process: subprocess.Popen[str]) -> None:
+    def _load_and_end(self, process: subprocess.Popen[str], discovery: DiscoveryPeer | SlowDiscovery) -> None:
         log = threading.Thread(target=self._copy_log, args=(process,))
         workers = [threading.Thread(target=self._run_client, args=(n,)) for n in range(self.plan.clients)]
         workers.append(threading.Thread(target=self._observe, args=(process,)))
@@ -219,6 +238,8 @@
         bad_clients = self._start_bad_clients()
         load_s = self.plan.load_s + FAULT_LOAD_S.get(self.plan.fault, 0.0)
         self._stopped.wait(load_s + BAD_CLIENT_LOAD_S * len(bad_clients))
+        if isinstance(discovery, SlowDiscovery):
+            self._disrupt(process, discovery)
         crowd = self._connect_crowd()
         terminated_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
@@ -239,6 +260,37 @@
         for started in bad_clients:
             kill_process(started)
 
+    def _disrupt(self, process: subprocess.Popen[str], discovery: SlowDiscovery) -> None:
+        """Let a cache server drain while discovery is slow, and wait until the router has to know it."""
+        plan = make_slow_plan(self.seed)
+        discovery.response_time_s = plan.response_time_s
+        if plan.disruption is Disruption.SILENT_WATCH:
+            discovery.silence()
+        started_at = time.monotonic()
+        discovery.change(DRAINING_SERVER, plan.lifecycle)
+        if plan.disruption is Disruption.SILENT_WATCH:
+            watch_started_at, wait_s = discovery.last_watch
+            known_by = max(started_at + SILENCE_DEADLINE_S, watch_started_at + wait_s + AFTER_WAIT_S)
+        else:
+            known_by = started_at + RELOAD_DEADLINE_S
+            if plan.disruption is Disruption.RELOAD_AND_LOST_CALL:
+                discovery.lose_next_call()
+            self._reload(process, discovery, 0)
+            if plan.disruption is Disruption.TWO_RELOADS:
+                self._stopped.wait(SECOND_RELOAD_AFTER_S)
+                self._reload(process, discovery, 1)
+        self.history.drain_known_by = known_by
+        self._stopped.wait(known_by + DRAIN_OBSERVED_S - time.monotonic())
+
+    def _reload(self, process: subprocess.Popen[str], discovery: SlowDiscovery, old: int) -> None:
+        """Move discovery from an address to the next one."""
+        self._config["discovery"] = f"127.0.0.1:{discovery.peers[old + 1].port}"
+        new_file = self._folder / "config.new"
+        new_file.write_text(json.dumps(self._config))
+        new_file.rename(self._folder / "config.json")
+        process.send_signal(signal.SIGHUP)
+        discovery.move_away(old)
+
     def _start_bad_clients(self) -> list[subprocess.Popen[str]]:
         name = self.plan.bad_clients
         if not name:
@@ -273,10 +325,10 @@
 
     # Servers
 
-    def _record_attempt(self, request_id: bytes) -> float:
+    def _record_attempt(self, request_id: bytes, server: str = "") -> float:
         """Record an attempt; return a random number from 0 to 1 for what its server does."""
         with self._lock:
-            self.history.attempts.append(Attempt(request_id.decode(), time.monotonic()))
+            self.history.attempts.append(Attempt(request_id.decode(), time.monotonic(), server))
             return self._rng.random()
 
     def _hang_or_answer(self, connection: socket.socket, words: list[bytes]) -> bytes | None:
@@ -296,6 +348,10 @@
         self._stopped.wait(draw * self.plan.late_s)
         return hit(words[2])
 
+    def _answer_while_draining(self, _: socket.socket, words: list[bytes]) -> bytes:
+        self._record_attempt(words[2], DRAINING_SERVER)
+        return hit(words[2])
+
     def _answer_fault(self, connection: socket.socket, request_id: bytes, draw: float) -> bytes:
         self.history.requests[request_id.decode()].is_broken_off = self.plan.fault is Fault.BREAKING_VALUES
         return faults.answer_from_cache(self.plan.fault, connection, request_id, draw, self._stopped)
--- a/tests/soak/test_broken_variants.py
+++ b/tests/soak/test_broken_variants.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from tests.soak.faults import FIRST_SEED, Fault, fault_of
+from tests.soak.faults import FIRST_SEED, FIRST_SLOW_SEED, Fault, fault_of
 from tests.soak.history import broken_rules
 from tests.soak.run import make_plan, run_soak
+from tests.soak.slow_discovery import Disruption
 
 FOUND = [
     ("keeps_partial_commands", "half-write", "KB of memory"),
@@ -37,3 +38,9 @@
     variant, line = FAULT_VARIANTS[fault_of(seed)]
     history = run_soak(seed, module=f"tests.soak.broken.{variant}")
     assert any(line in broken for broken in broken_rules(history))
+
+
+@pytest.mark.parametrize("seed", range(FIRST_SLOW_SEED, FIRST_SLOW_SEED + len(Disruption)))
+def test_soak_finds_calls_that_are_given_up_early(seed: int) -> None:
+    history = run_soak(seed, module="tests.soak.broken.gives_calls_up_early")
+    assert any(line.startswith("drain:") for line in broken_rules(history))
--- a/tests/soak/test_history.py
+++ b/tests/soak/test_history.py
@@ -42,6 +42,11 @@
     history.attempts.append(Attempt("served", 1.4))
 
 
+def send_to_drained(history: History) -> None:
+    history.drain_known_by = 0.7
+    history.attempts[0].server = "drains"
+
+
 def execute_twice(history: History) -> None:
     history.executed_writes["written"] += 1
 
@@ -87,6 +92,7 @@
     (lose, "lost: served was forwarded and not answered"),
     (answer_twice, "answer without a request: b'v'"),
     (attempt_after_answer, "attempt after the answer: served"),
+    (send_to_drained, "drain: 1 attempts at drains too late, the last by 0.40 s"),
     (execute_twice, "effect twice: written"),
     (crash, "exit code -11"),
     (be_killed_on_an_idle_machine, "exit code -9"),
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -198,6 +198,10 @@
             self.instances = list(entries)
             self.changed.notify_all()
 
+    def close(self) -> None:
+        """Stop listening."""
+        self.peer.close()
+
     def _answer(self, _: socket.socket, message: list[bytes]) -> bytes:
         target = message[1].decode()
         if self.invalid_reply is not None:
