A replaced address without an open call no longer spins, and calls free their errors

Need: found by reading again. A poll whose calls have all ended waits for the time of the next one; if another address is configured just then, none begins there any more, and the loop asked for the next event without waiting: a process that does nothing else. And a call kept its task, whose error refers to the call by its traceback, so that it waited for the garbage collector.

Change: such a poll ends with an error, and its watch is dropped, as another address is called. A closed call lets go of its task.

Measured: test_superseded_watch_without_an_open_call_ends doesn't end without the first change (cut off after 20 s) and passes with it; test_failed_calls_are_freed_without_the_garbage_collector fails in 2 of 3 cases without the second. tests/discovery: 392 passed.

--- a/pebblepass/discovery/call.py
+++ b/pebblepass/discovery/call.py
@@ -30,12 +30,25 @@
         self.planned, self.unanswered = planned, unanswered
         self.connection = connection
         self._address, self._target, self._connect_timeout_s = address, target, connect_timeout_s
-        self.task = loop.create_task(self._run())
+        self.task: asyncio.Task[Response] | None = loop.create_task(self._run())
+        """None: the call was closed."""
         self.task.add_done_callback(_retrieve_error)
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether there is a response or an error."""
+        return self.task is None or self.task.done()
+
+    def result(self) -> Response:
+        """Return the response of a call that has ended; raises its error, of any type."""
+        assert self.task is not None
+        return self.task.result()
+
     def close(self) -> None:
         """End the call and its connection."""
-        self.task.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        self.task = None  # its error refers to this call by its traceback
         self._close_connection()
 
     async def _run(self) -> Response:
--- a/pebblepass/discovery/watch.py
+++ b/pebblepass/discovery/watch.py
@@ -60,14 +60,14 @@
         loop = asyncio.get_running_loop()
         self._given_up, failure = 0, None
         next_at = self._begin_call(self.schedule.plan(self.needs_full_list), self._take_connection())
-        while True:
+        while self._calls or not self.is_superseded:
             await self._wait_for_a_call(math.inf if self.is_superseded else next_at)
             if (ended := self._take_ended()) is not None:
                 try:
                     return self._finish(ended)
                 except TimeoutError as timeout:
                     # If the next call is due at some time, it begins in place of this one.
-                    if not self._calls and (self.is_superseded or next_at == math.inf):
+                    if not self._calls and next_at == math.inf:
                         raise failure or timeout from None
                 except Exception as error:
                     if not self._calls:
@@ -79,6 +79,7 @@
                 self._log_overdue()
                 planned = self.schedule.plan_immediate(self.needs_full_list, self._unanswered)
                 next_at = self._begin_call(planned)
+        raise failure or DiscoveryError("no call is open, and another address is configured")
 
     def accepted(self, listed: EndpointList) -> None:
         """Continue after this list, which is now in force."""
@@ -149,14 +150,14 @@
     async def _wait_for_a_call(self, until: float) -> None:
         """Wait until a call has ended, at most until that time."""
         timeout_s = None if until == math.inf else max(until - asyncio.get_running_loop().time(), 0.0)
-        if tasks := [call.task for call in self._calls]:
+        if tasks := [call.task for call in self._calls if call.task is not None]:
             await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
         else:
             await asyncio.sleep(timeout_s or 0.0)
 
     def _take_ended(self) -> Call | None:
         for call in self._calls:
-            if call.task.done():
+            if call.has_ended:
                 self._calls.remove(call)
                 return call
         return None
@@ -164,7 +165,7 @@
     def _finish(self, ended: Call) -> ReceivedList:
         """Return the list of an ended call and close the others; raises an error of any type."""
         try:
-            listed = self._parse(ended.task.result())
+            listed = self._parse(ended.result())
         except BaseException as error:
             self._given_up += isinstance(error, TimeoutError)
             ended.close()
--- a/tests/discovery/test_slow_responses.py
+++ b/tests/discovery/test_slow_responses.py
@@ -7,15 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import itertools
 import math
+import weakref
 from collections.abc import Awaitable, Callable
-from typing import cast
+from typing import Any, cast
 
 import msgspec
 import pytest
 
 from pebblepass.daemon.daemon import UPGRADE_READY_S
+from pebblepass.discovery.call import Call
 from pebblepass.discovery.call_schedule import CallSchedule, PlannedCall
 from pebblepass.discovery.endpoint_list import EndpointList
 from pebblepass.discovery.watch import MAX_OPEN_CALLS
@@ -344,6 +347,60 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("fault", ["503", "reset", "refused"])
+def test_failed_calls_are_freed_without_the_garbage_collector(
+    fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    calls: list[weakref.ref[Call]] = []
+
+    class TrackedCall(Call):
+        def __init__(self, *arguments: Any) -> None:
+            super().__init__(*arguments)
+            calls.append(weakref.ref(self))
+
+    async def scenario(loop: FaultyLoop) -> None:
+        (registry,) = await open_registries(loop, 1, 0.0)
+        registry.next_faults.extend([fault] * 4)
+        router = RecordingRouter(loop, registry.address, 1)
+        router.discovery.start()
+        await asyncio.sleep(15.0)
+        assert len(calls) >= 5
+        assert [call() for call in calls[:-1]] == [None] * (len(calls) - 1)
+        assert router.discovery.open_calls == 1, "the last call is the watch that is open"
+        router.discovery.close()
+
+    monkeypatch.setattr("pebblepass.discovery.watch.Call", TrackedCall)
+    gc.collect()
+    gc.disable()
+    try:
+        run(scenario)
+    finally:
+        gc.enable()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_superseded_watch_without_an_open_call_ends(seed: int) -> None:
+    """Its calls have ended, and the time for the next one was set as another address was configured."""
+
+    async def scenario(loop: FaultyLoop) -> None:
+        old, new, last = await open_registries(loop, 3, 0.0)
+        router = await start_router(loop, old, seed)
+        new.next_faults.extend(["503", "stall"])
+        new.outage_fault = "503"
+        router.discovery.change_address(new.address)
+        (_, new_watch) = router.discovery._watches
+        while len(new.calls) < 3 or new_watch.open_calls:
+            await asyncio.sleep(0.01)
+        reloaded_at = loop.time()
+        router.expect(READY_AFTER["drain"])
+        last.change("drain")
+        last.delay_s = 1.9
+        router.discovery.change_address(last.address)
+        assert await wait_until_known(router, 9.0) <= reloaded_at + RELOADED_S
+
+    run(scenario)
+
+
 class GivesUpEarly(CallSchedule):
     """A broken schedule: a call is given up when the next one begins."""
 
