A crowd of new connections no longer makes the ones behind it wait for seconds

Cause: the event loop accepts one connection in an iteration, and with commands of a crowd an iteration takes 15 to 30 ms. Evidence: trials with a line for each accept and read: every late request is the first on its connection, and is read in the moment of its answer; 20 connections are accepted in 0.5 s while others are pending each time; the loop itself is late by 30 to 90 ms at most.

A connection counts as read from once it is connected, not once it is accepted: else the age of its request came out too low (an existing test found that in the first form).

--- a/pebblepass/daemon/client_connection.py
+++ b/pebblepass/daemon/client_connection.py
@@ -130,6 +130,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self.liveness.descriptor = self.transport.get_extra_info("socket").fileno()
+        self.liveness.begin(self.server.loop.time())
         self.server.register(self)
         if self._handed_over is not None and not self.transport.is_closing():
             self._restore(self._handed_over)  # before any other bytes are read
--- a/pebblepass/daemon/client_liveness.py
+++ b/pebblepass/daemon/client_liveness.py
@@ -41,6 +41,10 @@
         self._reading_since = now
         self._unread_age = UnreadAge(empty_at)
 
+    def begin(self, now: float) -> None:
+        """Record that the event loop reads from the connection: it may have been accepted well before."""
+        self._reading_since = now
+
     def record_read(self, now: float, size: int) -> int:
         """Record a read of `size` bytes; returns the nanoseconds for which they may have been unread."""
         # Not `now`: an end of file after these bytes would be read in the next iteration only.
--- a/pebblepass/daemon/client_server.py
+++ b/pebblepass/daemon/client_server.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
-from pebblepass.connection_limits.descriptors import MAX_REJECTED_CONNECTIONS
+from pebblepass.connection_limits.descriptors import MAX_REJECTED_CONNECTIONS, PENDING_ACCEPTS
 from pebblepass.connection_limits.eviction import choose_eviction
 from pebblepass.daemon.client_connection import ClientConnection
 from pebblepass.daemon.client_timeouts import enforce_timeouts
@@ -30,6 +30,8 @@
 BACKLOG = 1024
 SWEEP_INTERVAL_S = 0.5
 PAUSED_POLL_INTERVAL_S = 0.1  # at which connections that are not read are polled for disconnects
+MAX_ACCEPTS_PER_TURN = 16
+"""Connections that are accepted from the backlog in one iteration of the loop, which itself accepts one."""
 MAX_EVICTION_CHECKS = 4  # connections considered for eviction before a new one is rejected
 
 
@@ -68,6 +70,7 @@
         self._listener: asyncio.Server | None = None
         self._listener_descriptor = -1
         self._backlog_age = BacklogAge()
+        self._is_accepting_more = False
         self.on_handover: Callable[[ConnectionHandover], None] | None = None
         """Called with each idle connection as long as there is another process to hand it over to."""
         self.on_sweep: Callable[[float], None] = lambda now: None
@@ -138,8 +141,18 @@
         pending = self.poll_socket(self._listener_descriptor, select.POLLIN) & select.POLLIN
         now, polled_at = self.loop.time(), self.lag.sockets_polled_at
         empty_at = self._backlog_age.accepted(now, polled_at, more_wait=bool(pending))
+        if pending and not self._is_accepting_more:
+            self._is_accepting_more = True
+            self.loop.call_soon(self._accept_more)
         return ClientConnection(self, empty_at=empty_at)
 
+    def _accept_more(self) -> None:
+        """Accept further connections from the backlog, as many as can be served without an eviction."""
+        self._is_accepting_more = False
+        room = self._limit - PENDING_ACCEPTS - len(self._connections) - len(self._tasks)
+        if self._listener is not None and room > 0:
+            accept_pending(self.loop, self._listener, self._accept, min(room, MAX_ACCEPTS_PER_TURN))
+
     def register(self, connection: ClientConnection) -> None:
         """Register a new connection; at the limit, evict another one or reject the new one's commands."""
         if len(self._connections) >= self._limit:
--- a/tests/daemon/test_descriptors.py
+++ b/tests/daemon/test_descriptors.py
@@ -269,12 +269,14 @@
         raise AssertionError("there is room")
 
 
-def run_with_client_server(work: Callable[[ClientServer, Values, int], Awaitable[None]]) -> None:
-    """Run a test on the daemon's own loop, with a client server limited to ten connections."""
+def run_with_client_server(
+    work: Callable[[ClientServer, Values, int], Awaitable[None]], limit: int = 10
+) -> None:
+    """Run a test on the daemon's own loop, with a client server limited to so many connections."""
 
     async def main() -> None:
         loop, host = asyncio.get_running_loop(), Values()
-        server = ClientServer(loop, host, 10, rejected=0)
+        server = ClientServer(loop, host, limit, rejected=0)
         await server.listen(("127.0.0.1", 0))
         assert server._listener is not None
         try:
@@ -323,6 +325,42 @@
     run_with_client_server(work)
 
 
+def test_backlog_is_accepted_within_a_few_iterations_of_the_loop() -> None:
+    """Guards against requests that wait behind a crowd for one iteration of a busy loop per connection."""
+
+    async def work(server: ClientServer, host: Values, port: int) -> None:
+        crowd = [socket.create_connection(("127.0.0.1", port), timeout=WAIT_TIMEOUT_S) for _ in range(200)]
+        last = socket.create_connection(("127.0.0.1", port), timeout=WAIT_TIMEOUT_S)
+        last.sendall(get("r"))
+        before, peak, iterations = socket_count(), 0, 0
+        while server.connected <= 200 and iterations < 400:
+            iterations += 1
+            peak = max(peak, socket_count() - before)
+            await asyncio.sleep(0)
+        assert iterations <= 40
+        assert peak <= 201
+        await wait_until(lambda: host.answered, "the client behind the crowd is served")
+        for client in (*crowd, last):
+            client.close()
+
+    run_with_client_server(work, limit=220)
+
+
+def test_a_crowd_beyond_the_limit_takes_few_descriptors_while_it_is_accepted() -> None:
+    async def work(server: ClientServer, host: Values, port: int) -> None:
+        before = socket_count()
+        crowd = [socket.create_connection(("127.0.0.1", port), timeout=WAIT_TIMEOUT_S) for _ in range(100)]
+        peak = 0
+        for _ in range(300):
+            await asyncio.sleep(0)
+            peak = max(peak, socket_count() - before - len(crowd))
+        assert peak <= 40 + PENDING_ACCEPTS
+        for client in crowd:
+            client.close()
+
+    run_with_client_server(work, limit=40)
+
+
 def test_lack_of_descriptors_for_pending_connections_is_no_error() -> None:
     async def work(server: ClientServer, host: Values, port: int) -> None:
         with socket.create_connection(("127.0.0.1", port), timeout=WAIT_TIMEOUT_S) as client:
